Lay out modules, model, ports and build

Cause: the project starts; its parts need shared types before they can be built side by side. Conclusion: nothing serves a call yet.

--- /dev/null
+++ b/lib/src/main/java/org/cowslipstair/logic/admission/package-info.java
@@ -0,0 +1,5 @@
+/** How a call gets a slot of a backend server. */
+@NullMarked
+package org.cowslipstair.logic.admission;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/lib/src/main/java/org/cowslipstair/logic/invariant/package-info.java
@@ -0,0 +1,5 @@
+/** Checks that stay on while the program runs. */
+@NullMarked
+package org.cowslipstair.logic.invariant;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/lib/src/main/java/org/cowslipstair/model/config/RuleName.java
@@ -0,0 +1,19 @@
+package org.cowslipstair.model.config;
+
+/** Name of a routing rule. */
+public record RuleName(String value) implements Comparable<RuleName> {
+  /** Checks that the name is a valid object name. */
+  public RuleName {
+    ObjectKey.requireValidName(value);
+  }
+
+  @Override
+  public int compareTo(RuleName other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/lib/src/main/java/org/cowslipstair/model/config/ServiceName.java
@@ -0,0 +1,19 @@
+package org.cowslipstair.model.config;
+
+/** Name of a service. */
+public record ServiceName(String value) implements Comparable<ServiceName> {
+  /** Checks that the name is a valid object name. */
+  public ServiceName {
+    ObjectKey.requireValidName(value);
+  }
+
+  @Override
+  public int compareTo(ServiceName other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/lib/src/main/java/org/cowslipstair/model/config/ZoneName.java
@@ -0,0 +1,19 @@
+package org.cowslipstair.model.config;
+
+/** Name of an availability zone. */
+public record ZoneName(String value) implements Comparable<ZoneName> {
+  /** Checks that the name is a valid object name. */
+  public ZoneName {
+    ObjectKey.requireValidName(value);
+  }
+
+  @Override
+  public int compareTo(ZoneName other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/lib/src/main/java/org/cowslipstair/model/fleet/GatewayName.java
@@ -0,0 +1,21 @@
+package org.cowslipstair.model.fleet;
+
+import org.cowslipstair.model.config.ObjectKey;
+
+/** Name of a gateway instance. */
+public record GatewayName(String value) implements Comparable<GatewayName> {
+  /** Checks that the name is a valid object name. */
+  public GatewayName {
+    ObjectKey.requireValidName(value);
+  }
+
+  @Override
+  public int compareTo(GatewayName other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/lib/src/main/java/org/cowslipstair/model/peer/MembershipMessage.java
@@ -0,0 +1,31 @@
+package org.cowslipstair.model.peer;
+
+import java.util.List;
+import org.cowslipstair.model.config.StoreId;
+import org.cowslipstair.model.fleet.Member;
+import org.cowslipstair.model.pool.PoolId;
+
+/** Messages that keep the list of live gateways. */
+public sealed interface MembershipMessage extends PeerMessage {
+  /** First message on each connection: who the sender is. */
+  record Hello(int protocolVersion, Member sender) implements MembershipMessage {}
+
+  /**
+   * Sign of life.
+   *
+   * @param sequence rises by one with each heartbeat of this process life
+   * @param configRevision revision of the configuration that the sender has in force
+   * @param freeSlots free slots of the pools whose broker is the sender
+   */
+  record Heartbeat(
+      long sequence, Member sender, StoreId storeId, long configRevision, List<PoolFree> freeSlots)
+      implements MembershipMessage {
+    /** Copies the list. */
+    public Heartbeat {
+      freeSlots = List.copyOf(freeSlots);
+    }
+  }
+
+  /** Free slots of one pool. */
+  record PoolFree(PoolId pool, int free) {}
+}
--- /dev/null
+++ b/lib/src/main/java/org/cowslipstair/model/peer/package-info.java
@@ -0,0 +1,5 @@
+/** Messages between gateways. */
+@NullMarked
+package org.cowslipstair.model.peer;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/lib/src/main/java/org/cowslipstair/model/pool/CallReport.java
@@ -0,0 +1,15 @@
+package org.cowslipstair.model.pool;
+
+/**
+ * What a gateway reports when it gives a slot back.
+ *
+ * @param serviceTimeNs time from the first byte sent to the end, 0 if nothing was sent
+ */
+public record CallReport(CallEnd end, long serviceTimeNs) {
+  private static final CallReport UNUSED = new CallReport(CallEnd.UNUSED, 0);
+
+  /** Returns the report of a slot that no call used. */
+  public static CallReport unused() {
+    return UNUSED;
+  }
+}
