--- /dev/null
+++ b/lib/src/main/java/org/cowslipstair/logic/call/package-info.java
@@ -0,0 +1,5 @@
+/** Carries one call from its caller to a backend server and back: routing, retries, hedges. */
+@NullMarked
+package org.cowslipstair.logic.call;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/lib/src/main/java/org/cowslipstair/logic/membership/BrokerPlacement.java
@@ -0,0 +1,56 @@
+package org.cowslipstair.logic.membership;
+
+import com.google.common.hash.HashFunction;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import org.cowslipstair.model.config.BackendName;
+import org.cowslipstair.model.config.ZoneName;
+import org.cowslipstair.model.fleet.Member;
+import org.cowslipstair.model.pool.PoolId;
+
+/** Places broker roles and fallback slots on gateways by rendezvous hashing. */
+public final class BrokerPlacement {
+  private static final HashFunction HASH = Hashing.murmur3_128();
+
+  private BrokerPlacement() {}
+
+  /** Returns the broker of a pool: a live member of its zone, else of any zone. */
+  public static Optional<Member> brokerOf(PoolId pool, FleetView view) {
+    List<Member> live = view.liveMembers();
+    Optional<Member> local = highest(pool.toString(), live, Optional.of(pool.zone()));
+    return local.isPresent() ? local : highest(pool.toString(), live, Optional.empty());
+  }
+
+  /** Returns the only member that may use one slot of a backend server without a broker. */
+  public static Optional<Member> fallbackOwner(BackendName backend, int slot, FleetView view) {
+    return highest(backend + "/" + slot, view.liveMembers(), Optional.empty());
+  }
+
+  private static Optional<Member> highest(
+      String key, List<Member> members, Optional<ZoneName> zone) {
+    Optional<Member> best = Optional.empty();
+    long bestScore = Long.MIN_VALUE;
+    for (Member member : members) {
+      if (zone.isPresent() && !zone.get().equals(member.zone())) {
+        continue;
+      }
+      long score = score(key, member);
+      if (best.isEmpty() || score > bestScore) {
+        best = Optional.of(member);
+        bestScore = score;
+      }
+    }
+    return best;
+  }
+
+  private static long score(String key, Member member) {
+    return HASH.newHasher()
+        .putString(key, StandardCharsets.UTF_8)
+        .putByte((byte) 0)
+        .putString(member.id().name().value(), StandardCharsets.UTF_8)
+        .hash()
+        .asLong();
+  }
+}
--- a/lib/src/main/java/org/cowslipstair/model/config/ObjectKind.java
+++ b/lib/src/main/java/org/cowslipstair/model/config/ObjectKind.java
@@ -10,9 +10,7 @@
   SERVICE,
   ROUTING_RULE,
   /** Record that one idempotency key has been used; not part of the configuration. */
-  ATTEMPT,
-  /** Configuration version that one gateway has in force; not part of the configuration. */
-  GATEWAY_STATUS;
+  ATTEMPT;
 
   /** Returns the name used in files and on the wire, such as {@code backend-server}. */
   public String wireName() {
@@ -31,6 +29,6 @@
 
   /** Returns whether objects of this kind belong to the configuration that gateways watch. */
   public boolean isConfiguration() {
-    return this != ATTEMPT && this != GATEWAY_STATUS;
+    return this != ATTEMPT;
   }
 }
