--- /dev/null
+++ b/lib/src/main/java/org/cowslipstair/logic/policy/BaselineAdmission.java
@@ -0,0 +1,66 @@
+package org.cowslipstair.logic.policy;
+
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.cowslipstair.logic.admission.Admission;
+import org.cowslipstair.logic.admission.NotAdmittedException;
+import org.cowslipstair.logic.admission.Permit;
+import org.cowslipstair.model.call.NotRunReason;
+import org.cowslipstair.model.config.BackendServer;
+import org.cowslipstair.model.config.ConfigSnapshot;
+import org.cowslipstair.model.config.ServiceName;
+import org.cowslipstair.port.MonotonicClock;
+
+/**
+ * Admits every call at once to a backend server that one gateway chooses alone. Knows no limits;
+ * the choices behind it are the baselines that the broker is measured against.
+ */
+public final class BaselineAdmission implements Admission {
+  private final BackendChoice choice;
+  private final Supplier<ConfigSnapshot> snapshot;
+  private final Supplier<RandomGenerator> random;
+  private final MonotonicClock clock;
+  private final Consumer<ServiceName> beforeChoice;
+  private final InFlightCounts counts = new InFlightCounts();
+
+  /**
+   * Creates an admission.
+   *
+   * @param random source for the calling thread
+   * @param beforeChoice told of each call before a backend server is chosen, to send probes
+   */
+  public BaselineAdmission(
+      BackendChoice choice,
+      Supplier<ConfigSnapshot> snapshot,
+      Supplier<RandomGenerator> random,
+      MonotonicClock clock,
+      Consumer<ServiceName> beforeChoice) {
+    this.choice = choice;
+    this.snapshot = snapshot;
+    this.random = random;
+    this.clock = clock;
+    this.beforeChoice = beforeChoice;
+  }
+
+  @Override
+  public Permit admit(AdmissionRequest request) throws NotAdmittedException {
+    beforeChoice.accept(request.service());
+    List<BackendServer> candidates = candidates(request);
+    if (candidates.isEmpty()) {
+      throw new NotAdmittedException(NotRunReason.NO_BACKEND);
+    }
+    BackendServer backend = choice.pick(candidates, counts, random.get(), clock.nowNs());
+    counts.started(backend.name());
+    return new BaselinePermit(backend, snapshot, counts, request.deadlineNs());
+  }
+
+  private List<BackendServer> candidates(AdmissionRequest request) {
+    List<BackendServer> all = snapshot.get().candidates(request.service());
+    if (request.excluded().isEmpty()) {
+      return all;
+    }
+    return all.stream().filter(backend -> !request.excluded().contains(backend.name())).toList();
+  }
+}
--- a/lib/src/main/java/org/cowslipstair/model/config/ConfigSnapshot.java
+++ b/lib/src/main/java/org/cowslipstair/model/config/ConfigSnapshot.java
@@ -22,6 +22,7 @@
   private final SortedMap<ServiceName, Service> services = new TreeMap<>();
   private final List<RoutingRule> rules = new ArrayList<>();
   private final Map<PoolId, List<BackendServer>> pools = new HashMap<>();
+  private final Map<ServiceName, List<BackendServer>> candidates = new HashMap<>();
 
   private ConfigSnapshot(long revision, Collection<? extends ConfigObject> objects) {
     this.revision = revision;
@@ -52,6 +53,12 @@
     }
     byZone.forEach(
         (zone, members) -> pools.put(new PoolId(service.name(), zone), List.copyOf(members)));
+    candidates.put(
+        service.name(),
+        byZone.values().stream()
+            .flatMap(List::stream)
+            .filter(backend -> takesNewCalls(backend.name()))
+            .toList());
   }
 
   /** Returns a configuration without objects. */
@@ -114,6 +121,11 @@
     return pools.getOrDefault(pool, List.of());
   }
 
+  /** Returns the backend servers of a service that take new calls, in all zones. */
+  public List<BackendServer> candidates(ServiceName service) {
+    return candidates.getOrDefault(service, List.of());
+  }
+
   /** Returns whether new calls may be sent to a backend server. */
   public boolean takesNewCalls(BackendName name) {
     BackendServer backend = backends.get(name);
