Settle the messages between broker and lessee

Cause: the codec of the peer protocol waits for the final messages. Change: a lease is named by its holder and request number, so no lease number crosses the wire. Reuse reports a call while the lease goes on. Held names the first request number that it does not speak for, which makes old and repeated copies harmless. HeldRequest opens a term.

--- a/lib/src/main/java/org/cowslipstair/model/peer/LeaseMessage.java
+++ b/lib/src/main/java/org/cowslipstair/model/peer/LeaseMessage.java
@@ -9,7 +9,12 @@
 import org.cowslipstair.model.pool.CallReport;
 import org.cowslipstair.model.pool.PoolId;
 
-/** Messages between the broker of a pool and the gateways that send calls to it. */
+/**
+ * Messages between the broker of a pool and the gateways that send calls to it.
+ *
+ * <p>A lease is identified by its holder and the request number under which it was granted. A
+ * gateway never uses a request number of a pool twice in one process life.
+ */
 public sealed interface LeaseMessage extends PeerMessage {
   /** Pool that the message is about. */
   PoolId pool();
@@ -18,14 +23,13 @@
    * Asks for a slot; a repeat with the same number gets the same answer.
    *
    * @param remainingNs time until the deadline of the call
-   * @param freeSlotOnly whether to refuse at once instead of waiting
    * @param excluded backend servers that must not be granted
    */
   record Acquire(
       PoolId pool,
       long requestNumber,
       long remainingNs,
-      boolean freeSlotOnly,
+      WhenFull whenFull,
       Set<BackendName> excluded)
       implements LeaseMessage {
     /** Copies the set. */
@@ -34,16 +38,28 @@
     }
   }
 
+  /** What a broker does with an acquire that finds no free slot. */
+  enum WhenFull {
+    /** Refuse at once. */
+    REFUSE,
+    /** Refuse if another zone has free slots, else wait. */
+    SPILL_OR_WAIT,
+    /** Wait until the deadline. */
+    WAIT
+  }
+
   /** Gives up an acquire; a grant on its way is to be released unused. */
   record CancelAcquire(PoolId pool, long requestNumber) implements LeaseMessage {}
 
   /**
    * Grants a slot.
    *
-   * @param leaseNumber unique over all brokers of the pool
    * @param validNs time that the lease lasts, counted by the lessee from when it sent the acquire
+   * @param warm whether the backend server bears its whole slots
+   * @param free slots of the pool that are free after this grant
    */
-  record Grant(PoolId pool, long requestNumber, long leaseNumber, BackendName backend, long validNs)
+  record Grant(
+      PoolId pool, long requestNumber, BackendName backend, long validNs, boolean warm, int free)
       implements LeaseMessage {}
 
   /** Refuses an acquire; carries free slots of the same service in other zones. */
@@ -67,15 +83,26 @@
     RECOVERING
   }
 
-  /** Gives a slot back. */
-  record Release(PoolId pool, long leaseNumber, BackendName backend, CallReport report)
-      implements LeaseMessage {}
+  /** Reports the end of a call whose lease goes on with the next call of the same gateway. */
+  record Reuse(PoolId pool, long requestNumber, CallReport report) implements LeaseMessage {}
+
+  /** Gives a slot back; a repeat has no effect. */
+  record Release(PoolId pool, long requestNumber, CallReport report) implements LeaseMessage {}
 
   /** Asks for idle leases back. */
   record Recall(PoolId pool, int count) implements LeaseMessage {}
 
-  /** Leases that a gateway holds, sent to a new broker or after a reconnect. */
-  record Held(PoolId pool, List<HeldLease> leases) implements LeaseMessage {
+  /** Asks a gateway for {@link Held}; sent by a broker at the start of its term. */
+  record HeldRequest(PoolId pool) implements LeaseMessage {}
+
+  /**
+   * States that the sender takes the receiver for the broker, and which leases it holds. Sent to a
+   * new broker and after a reconnect, before any acquire.
+   *
+   * @param nextRequestNumber the sender will use no grant with a lower request number that is not
+   *     listed; rises with each message
+   */
+  record Held(PoolId pool, long nextRequestNumber, List<HeldLease> leases) implements LeaseMessage {
     /** Copies the list. */
     public Held {
       leases = List.copyOf(leases);
@@ -83,10 +110,15 @@
   }
 
   /** One held lease. */
-  record HeldLease(long leaseNumber, BackendName backend, long remainingNs) {}
+  record HeldLease(long requestNumber, BackendName backend, long remainingNs) {}
 
-  /** Lease table that a stopping broker hands to its successor. */
-  record HandOver(PoolId pool, List<HandedLease> leases, List<HandedBackend> backends)
+  /**
+   * Lease table that a broker hands to its successor.
+   *
+   * @param complete whether the sender knew every lease of the pool
+   */
+  record HandOver(
+      PoolId pool, boolean complete, List<HandedLease> leases, List<HandedBackend> backends)
       implements LeaseMessage {
     /** Copies the lists. */
     public HandOver {
@@ -95,9 +127,16 @@
     }
   }
 
-  /** One lease in a hand-over. */
-  record HandedLease(GatewayId holder, long leaseNumber, BackendName backend, long remainingNs) {}
+  /**
+   * One lease in a hand-over.
+   *
+   * @param remainingNs time until the slot is free at the latest
+   */
+  record HandedLease(GatewayId holder, long requestNumber, BackendName backend, long remainingNs) {}
 
-  /** State of one backend server in a hand-over. */
+  /**
+   * State of one backend server in a hand-over. Times in the state count from when the message was
+   * sent.
+   */
   record HandedBackend(BackendName backend, BackendState state, int limit) {}
 }
