Number hand-overs

Cause: a delayed copy of an old hand-over would pass for a new one. Change: HandOver carries a sequence that rises within a process life. Tests: compiles. Conclusion: the receiver can ignore copies.

--- a/lib/src/main/java/org/cowslipstair/model/peer/LeaseMessage.java
+++ b/lib/src/main/java/org/cowslipstair/model/peer/LeaseMessage.java
@@ -115,10 +115,15 @@
   /**
    * Lease table that a broker hands to its successor.
    *
+   * @param sequence rises with each hand-over of the sender's process life
    * @param complete whether the sender knew every lease of the pool
    */
   record HandOver(
-      PoolId pool, boolean complete, List<HandedLease> leases, List<HandedBackend> backends)
+      PoolId pool,
+      long sequence,
+      boolean complete,
+      List<HandedLease> leases,
+      List<HandedBackend> backends)
       implements LeaseMessage {
     /** Copies the lists. */
     public HandOver {
