--- /dev/null
+++ b/lib/src/main/java/org/cowslipstair/logic/call/AttemptRunner.java
@@ -0,0 +1,231 @@
+package org.cowslipstair.logic.call;
+
+import java.io.IOException;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.cowslipstair.logic.admission.Admission.AdmissionRequest;
+import org.cowslipstair.logic.admission.NotAdmittedException;
+import org.cowslipstair.logic.admission.Permit;
+import org.cowslipstair.model.call.CallHeaders;
+import org.cowslipstair.model.call.MayHaveRunReason;
+import org.cowslipstair.model.call.NotRunReason;
+import org.cowslipstair.model.config.BackendName;
+import org.cowslipstair.model.config.BackendServer;
+import org.cowslipstair.model.pool.CallEnd;
+import org.cowslipstair.model.pool.CallReport;
+import org.cowslipstair.model.pool.PoolId;
+import org.cowslipstair.port.BackendException;
+import org.cowslipstair.port.BackendTransport.BackendAnswer;
+import org.cowslipstair.port.BackendTransport.BackendCall;
+
+/** Runs one attempt of a call: waits for a slot, sends, and gives the slot back. */
+final class AttemptRunner {
+  private static final int SERVICE_UNAVAILABLE = 503;
+  private final CallPorts ports;
+  private final CallHooks hooks;
+  private final HedgeDelays hedgeDelays;
+  private final int bufferedAnswerBytes;
+
+  AttemptRunner(
+      CallPorts ports, CallHooks hooks, HedgeDelays hedgeDelays, int bufferedAnswerBytes) {
+    this.ports = ports;
+    this.hooks = hooks;
+    this.hedgeDelays = hedgeDelays;
+    this.bufferedAnswerBytes = bufferedAnswerBytes;
+  }
+
+  /**
+   * Runs an attempt.
+   *
+   * @param onSend called just before the call is sent
+   */
+  AttemptOutcome run(
+      CallContext call, Set<BackendName> excluded, boolean isHedge, Consumer<BackendServer> onSend)
+      throws InterruptedException {
+    int attempt = call.attempts().incrementAndGet();
+    long askedNs = ports.clock().nowNs();
+    Permit permit;
+    try {
+      permit =
+          call.admission()
+              .admit(
+                  new AdmissionRequest(
+                      call.service().name(), call.deadlineNs(), isHedge, excluded));
+    } catch (NotAdmittedException e) {
+      decided(call, new CallDecision.NotAdmitted(attempt, e.reason()));
+      return new AttemptOutcome.NotAdmitted(e.reason());
+    }
+    BackendName backend = permit.backend().name();
+    long waitNs = ports.clock().nowNs() - askedNs;
+    decided(call, new CallDecision.Admitted(backend, attempt, waitNs));
+    Optional<AttemptOutcome> obstacle = obstacle(call, permit, attempt);
+    if (obstacle.isPresent()) {
+      return obstacle.get();
+    }
+    decided(call, new CallDecision.Sent(backend, attempt));
+    onSend.accept(permit.backend());
+    return send(call, permit, attempt);
+  }
+
+  private Optional<AttemptOutcome> obstacle(CallContext call, Permit permit, int attempt) {
+    BackendName backend = permit.backend().name();
+    boolean mayStart = permit.mayStart() && ports.configuration().get().takesNewCalls(backend);
+    if (!mayStart) {
+      permit.release(CallReport.unused());
+      decided(call, new CallDecision.NotStarted(backend, attempt));
+      return Optional.of(new AttemptOutcome.NotStarted(backend));
+    }
+    if (ports.clock().nowNs() >= call.deadlineNs()) {
+      permit.release(CallReport.unused());
+      decided(call, new CallDecision.NotStarted(backend, attempt));
+      return Optional.of(new AttemptOutcome.NotAdmitted(NotRunReason.DEADLINE_TOO_CLOSE));
+    }
+    return Optional.empty();
+  }
+
+  private AttemptOutcome send(CallContext call, Permit permit, int attempt)
+      throws InterruptedException {
+    BackendServer backend = permit.backend();
+    CallRequest request = call.request();
+    long deadlineNs = Math.min(call.deadlineNs(), permit.expiresAtNs());
+    BackendCall outgoing =
+        new BackendCall(
+            request.method(), request.target(), request.headers(), call.body(), deadlineNs);
+    Slot slot = new Slot(call, permit, attempt, ports.clock().nowNs());
+    try {
+      BackendAnswer answer = ports.transport().send(backend, outgoing);
+      return headArrived(slot, answer, deadlineNs);
+    } catch (BackendException e) {
+      return failed(slot, e);
+    } catch (InterruptedException e) {
+      slot.release(CallEnd.CANCELLED);
+      noteTime(slot);
+      throw e;
+    } catch (RuntimeException e) {
+      slot.release(CallEnd.FAILED);
+      throw e;
+    }
+  }
+
+  private AttemptOutcome failed(Slot slot, BackendException failure) {
+    BackendName backend = slot.permit().backend().name();
+    return switch (failure) {
+      case BackendException.NotSent _ -> {
+        slot.release(CallEnd.FAILED);
+        decided(slot.call(), new CallDecision.NotSent(backend, slot.attempt()));
+        yield new AttemptOutcome.NotSent(backend);
+      }
+      case BackendException.ConnectionLost _ -> {
+        slot.release(CallEnd.FAILED);
+        yield mayHaveRun(slot, MayHaveRunReason.CONNECTION_LOST);
+      }
+      case BackendException.DeadlinePassed _ -> {
+        slot.release(CallEnd.TIMED_OUT);
+        yield mayHaveRun(slot, MayHaveRunReason.DEADLINE_PASSED);
+      }
+      case BackendException.CallerFailed _ -> {
+        slot.release(CallEnd.CANCELLED);
+        yield new AttemptOutcome.CallerFailed(backend);
+      }
+    };
+  }
+
+  private AttemptOutcome headArrived(Slot slot, BackendAnswer answer, long deadlineNs) {
+    CallContext call = slot.call();
+    BackendName backend = slot.permit().backend().name();
+    if (isShed(answer)) {
+      answer.close();
+      slot.release(CallEnd.SHED);
+      decided(call, new CallDecision.Shed(backend, slot.attempt()));
+      return new AttemptOutcome.Shed(backend);
+    }
+    TrackedAnswer tracked =
+        new TrackedAnswer(
+            backend,
+            slot.attempt(),
+            call.request().method(),
+            answer,
+            ports.clock().nowNs() - slot.sentNs(),
+            deadlineNs,
+            ports.clock(),
+            slot::release);
+    long length = tracked.expectedBytes();
+    if (call.idempotent() && length > 0 && length <= bufferedAnswerBytes) {
+      try {
+        tracked.buffer();
+      } catch (IOException ignored) {
+        tracked.close();
+        boolean late = ports.clock().nowNs() >= deadlineNs;
+        return mayHaveRun(
+            slot, late ? MayHaveRunReason.DEADLINE_PASSED : MayHaveRunReason.CONNECTION_LOST);
+      }
+    }
+    noteTime(slot);
+    return new AttemptOutcome.Answered(tracked);
+  }
+
+  private AttemptOutcome mayHaveRun(Slot slot, MayHaveRunReason reason) {
+    BackendName backend = slot.permit().backend().name();
+    decided(slot.call(), new CallDecision.Failed(backend, slot.attempt(), reason));
+    return new AttemptOutcome.Failed(backend, reason);
+  }
+
+  /** Learns from answered and from cancelled attempts, lest the slow ones be left out. */
+  private void noteTime(Slot slot) {
+    CallContext call = slot.call();
+    if (call.idempotent() && call.service().hedging()) {
+      PoolId pool = new PoolId(call.service().name(), slot.permit().backend().zone());
+      hedgeDelays.add(pool, ports.clock().nowNs() - slot.sentNs());
+    }
+  }
+
+  private void decided(CallContext call, CallDecision decision) {
+    hooks.decided(call.request().requestId(), ports.clock().nowNs(), decision);
+  }
+
+  private static boolean isShed(BackendAnswer answer) {
+    return answer.status() == SERVICE_UNAVAILABLE
+        && AnswerLength.header(answer, CallHeaders.BACKEND_NOT_RUN).filter("1"::equals).isPresent();
+  }
+
+  /** A slot in use by one attempt. */
+  private final class Slot {
+    private final CallContext call;
+    private final Permit permit;
+    private final int attempt;
+    private final long sentNs;
+
+    Slot(CallContext call, Permit permit, int attempt, long sentNs) {
+      this.call = call;
+      this.permit = permit;
+      this.attempt = attempt;
+      this.sentNs = sentNs;
+    }
+
+    CallContext call() {
+      return call;
+    }
+
+    Permit permit() {
+      return permit;
+    }
+
+    int attempt() {
+      return attempt;
+    }
+
+    long sentNs() {
+      return sentNs;
+    }
+
+    void release(CallEnd end) {
+      release(new CallReport(end, ports.clock().nowNs() - sentNs));
+    }
+
+    void release(CallReport report) {
+      permit.release(report);
+      decided(call, new CallDecision.Released(permit.backend().name(), attempt, report));
+    }
+  }
+}
