--- /dev/null
+++ b/lib/src/main/java/org/cowslipstair/logic/object/InvalidObjectException.java
@@ -0,0 +1,33 @@
+package org.cowslipstair.logic.object;
+
+import java.io.Serial;
+import java.util.List;
+import java.util.stream.Collectors;
+import org.cowslipstair.model.config.ObjectKey;
+
+/** An object that is not valid, with every fault that was found. */
+public final class InvalidObjectException extends Exception {
+  @Serial private static final long serialVersionUID = 1L;
+  private final transient ObjectKey key;
+  private final transient List<ObjectFault> faults;
+
+  /** Creates the exception. */
+  public InvalidObjectException(ObjectKey key, List<ObjectFault> faults) {
+    super(
+        faults.stream()
+            .map(ObjectFault::toString)
+            .collect(Collectors.joining("; ", key + " is not valid: ", "")));
+    this.key = key;
+    this.faults = List.copyOf(faults);
+  }
+
+  /** Returns the key of the object. */
+  public ObjectKey key() {
+    return key;
+  }
+
+  /** Returns all faults of the object. */
+  public List<ObjectFault> faults() {
+    return faults;
+  }
+}
--- /dev/null
+++ b/lib/src/main/java/org/cowslipstair/logic/object/package-info.java
@@ -0,0 +1,5 @@
+/** JSON form and validation of configuration objects. */
+@NullMarked
+package org.cowslipstair.logic.object;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/standins/src/main/java/org/cowslipstair/standins/store/StoreObject.java
@@ -0,0 +1,26 @@
+package org.cowslipstair.standins.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+
+/**
+ * An object on the wire and in the store.
+ *
+ * @param version revision of the store at which the object was last written
+ */
+public record StoreObject(
+    String kind, String name, long version, String changeId, boolean deleted, JsonNode body) {
+  /** Returns the tombstone that a delete leaves. */
+  StoreObject tombstone(long deletedAtVersion, String deleteChangeId) {
+    return new StoreObject(
+        kind, name, deletedAtVersion, deleteChangeId, true, JsonNodeFactory.instance.objectNode());
+  }
+
+  String key() {
+    return keyOf(kind, name);
+  }
+
+  static String keyOf(String kind, String name) {
+    return kind + "/" + name;
+  }
+}
