--- /dev/null
+++ b/standins/src/main/java/org/cowslipstair/standins/backend/package-info.java
@@ -0,0 +1,5 @@
+/** Stand-in for backend servers. */
+@NullMarked
+package org.cowslipstair.standins.backend;
+
+import org.jspecify.annotations.NullMarked;
