--- /dev/null
+++ b/adapters/src/main/java/org/cowslipstair/adapters/http/CallerExchange.java
@@ -0,0 +1,93 @@
+package org.cowslipstair.adapters.http;
+
+import jakarta.servlet.http.HttpServletRequest;
+import jakarta.servlet.http.HttpServletResponse;
+import java.io.IOException;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.cowslipstair.logic.call.CallHandler;
+import org.cowslipstair.logic.call.CallRequest;
+import org.cowslipstair.logic.call.CallResult;
+import org.cowslipstair.model.call.MayHaveRunReason;
+import org.cowslipstair.port.BackendTransport.BackendAnswer;
+import org.cowslipstair.port.MonotonicClock;
+import org.eclipse.jetty.ee10.servlet.ServletContextRequest;
+
+/** Serves one HTTP request of a caller: reads the call, has it handled, writes how it ended. */
+final class CallerExchange {
+  private final CallReader reader;
+  private final AnswerWriter writer;
+  private final CallHandler handler;
+  private final Supplier<String> requestIds;
+  private final BooleanSupplier closing;
+
+  CallerExchange(
+      CallerLimits limits,
+      CallHandler handler,
+      MonotonicClock clock,
+      Supplier<String> requestIds,
+      BooleanSupplier closing) {
+    this.reader = new CallReader(limits, clock, requestIds);
+    this.writer = new AnswerWriter(limits);
+    this.handler = handler;
+    this.requestIds = requestIds;
+    this.closing = closing;
+  }
+
+  /** Serves a request; blocks until its answer is written. */
+  void serve(HttpServletRequest request, HttpServletResponse response) {
+    ServletContextRequest core = ServletContextRequest.getServletContextRequest(request);
+    try {
+      serveOrAbort(core, request, response);
+    } catch (IOException | RuntimeException e) {
+      abort(core, e);
+    } catch (InterruptedException e) {
+      abort(core, e);
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void serveOrAbort(
+      ServletContextRequest core, HttpServletRequest request, HttpServletResponse response)
+      throws IOException, InterruptedException {
+    String requestId;
+    CallRequest call;
+    try {
+      requestId = reader.requestId(core);
+    } catch (BadRequestException e) {
+      writer.writeProblem(response, Problem.of(e.fault()), requestIds.get(), true);
+      return;
+    }
+    try {
+      call = reader.read(core, requestId, request.getInputStream());
+    } catch (BadRequestException e) {
+      writer.writeProblem(response, Problem.of(e.fault()), requestId, true);
+      return;
+    }
+    finish(response, requestId, handler.handle(call));
+  }
+
+  private void finish(HttpServletResponse response, String requestId, CallResult result)
+      throws IOException {
+    boolean close = closing.getAsBoolean();
+    switch (result) {
+      case CallResult.Answered(BackendAnswer answer) -> {
+        try (answer) {
+          writer.writeAnswer(response, answer, requestId, close);
+        } catch (AnswerLostException _) {
+          CallResult lost = new CallResult.MayHaveRun(MayHaveRunReason.CONNECTION_LOST);
+          finish(response, requestId, lost);
+        }
+      }
+      case CallResult.NotRun notRun ->
+          writer.writeProblem(response, Problem.of(notRun), requestId, close);
+      case CallResult.MayHaveRun mayHaveRun ->
+          writer.writeProblem(response, Problem.of(mayHaveRun), requestId, close);
+    }
+  }
+
+  /** Closes the connection, so that the caller cannot take a part for the whole. */
+  private static void abort(ServletContextRequest core, Throwable cause) {
+    core.getConnectionMetaData().getConnection().getEndPoint().close(cause);
+  }
+}
--- /dev/null
+++ b/adapters/src/main/java/org/cowslipstair/adapters/http/CallerServer.java
@@ -0,0 +1,155 @@
+package org.cowslipstair.adapters.http;
+
+import io.javalin.Javalin;
+import io.javalin.compression.CompressionStrategy;
+import io.javalin.config.JavalinConfig;
+import io.javalin.http.Context;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Supplier;
+import org.cowslipstair.logic.call.CallHandler;
+import org.cowslipstair.port.MonotonicClock;
+import org.eclipse.jetty.http.UriCompliance;
+import org.eclipse.jetty.server.Connector;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/** The server that callers connect to; each request has a virtual thread of its own. */
+public final class CallerServer implements AutoCloseable {
+  private static final int MAX_PLATFORM_THREADS = 32;
+  private static final int MIN_PLATFORM_THREADS = 4;
+  private static final long POLL_NS = 2_000_000;
+
+  /** The backend server, not the gateway, says what an encoded separator in a path means. */
+  private static final UriCompliance PASSED_ON_AS_SENT =
+      UriCompliance.DEFAULT.with(
+          "passed on as sent",
+          UriCompliance.Violation.AMBIGUOUS_EMPTY_SEGMENT,
+          UriCompliance.Violation.AMBIGUOUS_PATH_ENCODING,
+          UriCompliance.Violation.AMBIGUOUS_PATH_PARAMETER,
+          UriCompliance.Violation.AMBIGUOUS_PATH_SEPARATOR);
+
+  private final CallerServerSettings settings;
+  private final MonotonicClock clock;
+  private final CallerExchange exchange;
+  private final Javalin javalin;
+  private final AtomicInteger inProgress = new AtomicInteger();
+  private volatile boolean stopping;
+
+  /**
+   * Creates a server that does not listen yet.
+   *
+   * @param handler runs the calls
+   * @param requestIds makes an id for a request that has none
+   */
+  public CallerServer(
+      CallerServerSettings settings,
+      CallHandler handler,
+      MonotonicClock clock,
+      Supplier<String> requestIds) {
+    this.settings = settings;
+    this.clock = clock;
+    this.exchange =
+        new CallerExchange(settings.limits(), handler, clock, requestIds, () -> stopping);
+    this.javalin = Javalin.create(this::configure);
+  }
+
+  private void configure(JavalinConfig config) {
+    config.startup.showJavalinBanner = false;
+    config.startup.showOldJavalinVersionWarning = false;
+    config.http.compressionStrategy = CompressionStrategy.NONE;
+    config.jetty.threadPool = threadPool();
+    config.jetty.modifyServer(server -> server.setErrorHandler(new ProblemErrorHandler()));
+    config.jetty.addConnector((server, _) -> connector(server));
+    config.jetty.modifyServletContextHandler(
+        context -> context.getServletHandler().setDecodeAmbiguousURIs(true));
+    config.routes.before(this::serve);
+  }
+
+  private static QueuedThreadPool threadPool() {
+    QueuedThreadPool pool = new QueuedThreadPool(MAX_PLATFORM_THREADS, MIN_PLATFORM_THREADS);
+    pool.setName("caller");
+    pool.setDaemon(true);
+    pool.setVirtualThreadsExecutor(Executors.newVirtualThreadPerTaskExecutor());
+    return pool;
+  }
+
+  private Connector connector(Server server) {
+    CallerLimits limits = settings.limits();
+    HttpConfiguration http = new HttpConfiguration();
+    http.setSendServerVersion(false);
+    http.setSendDateHeader(false);
+    http.setRequestHeaderSize(limits.maxHeadBytes());
+    http.setUriCompliance(PASSED_ON_AS_SENT);
+    http.setIdleTimeout(limits.bodyIdleTimeoutMs());
+    ServerConnector connector = new ServerConnector(server, new HttpConnectionFactory(http));
+    connector.setHost(settings.address().host());
+    connector.setPort(settings.address().port());
+    connector.setIdleTimeout(limits.idleTimeoutMs());
+    return connector;
+  }
+
+  private void serve(Context context) {
+    inProgress.incrementAndGet();
+    try {
+      exchange.serve(context.req(), context.res());
+    } finally {
+      inProgress.decrementAndGet();
+      context.skipRemainingHandlers();
+    }
+  }
+
+  /** Starts to listen and returns the port. */
+  public int start() {
+    javalin.start();
+    return port();
+  }
+
+  /** Returns the port that the server listens on. */
+  public int port() {
+    return connector().getLocalPort();
+  }
+
+  private ServerConnector connector() {
+    return (ServerConnector) javalin.jettyServer().server().getConnectors()[0];
+  }
+
+  /** Returns the number of requests in progress. */
+  public int inProgress() {
+    return inProgress.get();
+  }
+
+  /** Tells callers to use each connection for one more request only. */
+  public void stopAccepting() {
+    stopping = true;
+  }
+
+  /**
+   * Closes the listening socket and waits for the requests in progress.
+   *
+   * @return whether all of them ended before the deadline
+   */
+  public boolean drain(long deadlineNs) throws InterruptedException {
+    stopping = true;
+    connector().close();
+    while (inProgress.get() > 0) {
+      if (clock.nowNs() - deadlineNs >= 0) {
+        return false;
+      }
+      LockSupport.parkNanos(POLL_NS);
+      if (Thread.interrupted()) {
+        throw new InterruptedException("drain was interrupted");
+      }
+    }
+    return true;
+  }
+
+  @Override
+  public void close() {
+    javalin.stop();
+  }
+}
