Add brokers, lessees and the lease runtime

Cause: gateways that guess at load push backend servers past their slots together; one broker for each pool grants leases instead. Wiring: create one LeaseRuntime for each gateway with the control loop, then BrokerAdmission over it for services with the broker policy.

--- /dev/null
+++ b/lib/src/main/java/org/cowslipstair/logic/lessee/LesseeSettings.java
@@ -0,0 +1,28 @@
+package org.cowslipstair.logic.lessee;
+
+/**
+ * Settings of a lessee.
+ *
+ * @param resendNs time after which an acquire without answer is sent again
+ * @param retryNs time after which a call that no broker could serve looks for a slot again
+ * @param longestLingerNs longest time that an idle lease waits for the next call
+ * @param lingerIntervals mean intervals between own calls for which an idle lease waits
+ * @param recallQuietNs time after a recall in which no lease is kept idle
+ * @param warmNewsNs time for which a backend server counts as warm after the last news of it
+ */
+public record LesseeSettings(
+    long resendNs,
+    long retryNs,
+    long longestLingerNs,
+    double lingerIntervals,
+    long recallQuietNs,
+    long warmNewsNs) {
+  private static final LesseeSettings DEFAULTS =
+      new LesseeSettings(
+          100_000_000L, 10_000_000L, 20_000_000L, 2.0, 200_000_000L, 10_000_000_000L);
+
+  /** Returns the defaults. */
+  public static LesseeSettings defaults() {
+    return DEFAULTS;
+  }
+}
--- /dev/null
+++ b/lib/src/main/java/org/cowslipstair/logic/lessee/WaitingCall.java
@@ -0,0 +1,60 @@
+package org.cowslipstair.logic.lessee;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.cowslipstair.logic.admission.Admission.AdmissionRequest;
+import org.cowslipstair.model.pool.PoolId;
+
+/** A call that waits for a slot, and the pools that it has tried. */
+final class WaitingCall {
+  private final long id;
+  private final AdmissionRequest request;
+  private final Set<PoolId> tried = new HashSet<>();
+  private long retryAtNs = Long.MAX_VALUE;
+  private boolean waited;
+
+  WaitingCall(long id, AdmissionRequest request) {
+    this.id = id;
+    this.request = request;
+  }
+
+  long id() {
+    return id;
+  }
+
+  AdmissionRequest request() {
+    return request;
+  }
+
+  boolean hasTried(PoolId pool) {
+    return tried.contains(pool);
+  }
+
+  /** Returns whether the call has asked to wait in a queue. */
+  boolean hasWaited() {
+    return waited;
+  }
+
+  void waited() {
+    waited = true;
+  }
+
+  void tried(PoolId pool) {
+    tried.add(pool);
+  }
+
+  /** Looks for a slot again at a later time. */
+  void retryAt(long atNs) {
+    tried.clear();
+    waited = false;
+    retryAtNs = atNs;
+  }
+
+  void noRetry() {
+    retryAtNs = Long.MAX_VALUE;
+  }
+
+  long retryAtNs() {
+    return retryAtNs;
+  }
+}
--- a/lib/src/main/java/org/cowslipstair/model/peer/LeaseMessage.java
+++ b/lib/src/main/java/org/cowslipstair/model/peer/LeaseMessage.java
@@ -140,8 +140,8 @@
   record HandedLease(GatewayId holder, long requestNumber, BackendName backend, long remainingNs) {}
 
   /**
-   * State of one backend server in a hand-over. Times in the state count from when the message was
-   * sent.
+   * State of one backend server in a hand-over. Times in the state are those of the sender's clock
+   * and mean nothing to the receiver.
    */
   record HandedBackend(BackendName backend, BackendState state, int limit) {}
 }
--- /dev/null
+++ b/lib/src/main/java/org/cowslipstair/runtime/lease/BrokerAdmission.java
@@ -0,0 +1,108 @@
+package org.cowslipstair.runtime.lease;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import org.cowslipstair.logic.admission.Admission;
+import org.cowslipstair.logic.admission.NotAdmittedException;
+import org.cowslipstair.logic.admission.Permit;
+import org.cowslipstair.logic.invariant.InvariantMonitor;
+import org.cowslipstair.logic.lessee.Lease;
+import org.cowslipstair.model.call.NotRunReason;
+import org.cowslipstair.model.config.BackendServer;
+import org.cowslipstair.model.config.ConfigSnapshot;
+import org.cowslipstair.model.config.ZoneName;
+import org.cowslipstair.model.pool.CallReport;
+import org.cowslipstair.model.pool.PoolId;
+import org.cowslipstair.port.MonotonicClock;
+
+/**
+ * Admits calls under leases of their pool's broker. Called from the thread of each call; an idle
+ * lease is taken without a lock and without the control loop.
+ */
+public final class BrokerAdmission implements Admission {
+  private static final long ANSWER_MARGIN_NS = 50_000_000L;
+  private final LeaseRuntime runtime;
+  private final ZoneName homeZone;
+  private final MonotonicClock clock;
+  private final Supplier<ConfigSnapshot> snapshot;
+  private final InvariantMonitor monitor;
+  private final AtomicLong nextCallId = new AtomicLong(1);
+
+  /** Creates an admission. */
+  public BrokerAdmission(
+      LeaseRuntime runtime,
+      ZoneName homeZone,
+      MonotonicClock clock,
+      Supplier<ConfigSnapshot> snapshot,
+      InvariantMonitor monitor) {
+    this.runtime = runtime;
+    this.homeZone = homeZone;
+    this.clock = clock;
+    this.snapshot = snapshot;
+    this.monitor = monitor;
+  }
+
+  @Override
+  public Permit admit(AdmissionRequest request) throws NotAdmittedException, InterruptedException {
+    Optional<Permit> kept = takeIdle(request);
+    if (kept.isPresent()) {
+      return kept.get();
+    }
+    long callId = nextCallId.getAndIncrement();
+    CompletableFuture<Lease> answer = new CompletableFuture<>();
+    runtime.admit(callId, request, answer);
+    return permit(await(callId, request, answer));
+  }
+
+  private Optional<Permit> takeIdle(AdmissionRequest request) {
+    PoolId home = new PoolId(request.service(), homeZone);
+    long nowNs = clock.nowNs();
+    Optional<Lease> taken =
+        runtime.idle().take(home, request.excluded(), request.deadlineNs(), nowNs);
+    if (taken.isEmpty()) {
+      return Optional.empty();
+    }
+    Lease lease = taken.get();
+    ConfigSnapshot now = snapshot.get();
+    Optional<BackendServer> backend = now.backend(lease.backend());
+    if (backend.isEmpty() || !now.takesNewCalls(lease.backend())) {
+      runtime.release(lease, lease.lastReport());
+      return Optional.empty();
+    }
+    runtime.reused(lease);
+    return Optional.of(new LeasePermit(lease, backend.get(), runtime, clock, snapshot, monitor));
+  }
+
+  private Lease await(long callId, AdmissionRequest request, CompletableFuture<Lease> answer)
+      throws NotAdmittedException, InterruptedException {
+    long waitNs = Math.max(0, request.deadlineNs() - clock.nowNs()) + ANSWER_MARGIN_NS;
+    try {
+      return answer.get(waitNs, TimeUnit.NANOSECONDS);
+    } catch (InterruptedException e) {
+      runtime.cancel(callId, answer);
+      throw e;
+    } catch (TimeoutException ignored) {
+      runtime.cancel(callId, answer);
+      throw new NotAdmittedException(NotRunReason.NO_FREE_SLOT);
+    } catch (ExecutionException e) {
+      if (e.getCause() instanceof NotAdmittedException refused) {
+        throw refused;
+      }
+      throw new IllegalStateException("admission failed", e.getCause());
+    }
+  }
+
+  private Permit permit(Lease lease) throws NotAdmittedException {
+    Optional<BackendServer> backend = snapshot.get().backend(lease.backend());
+    if (backend.isEmpty()) {
+      runtime.release(lease, CallReport.unused());
+      throw new NotAdmittedException(NotRunReason.NO_BACKEND);
+    }
+    return new LeasePermit(lease, backend.get(), runtime, clock, snapshot, monitor);
+  }
+}
--- /dev/null
+++ b/lib/src/main/java/org/cowslipstair/runtime/lease/LeasePermit.java
@@ -0,0 +1,83 @@
+package org.cowslipstair.runtime.lease;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
+import org.cowslipstair.logic.admission.Permit;
+import org.cowslipstair.logic.invariant.Invariant;
+import org.cowslipstair.logic.invariant.InvariantMonitor;
+import org.cowslipstair.logic.lessee.Lease;
+import org.cowslipstair.model.config.BackendServer;
+import org.cowslipstair.model.config.ConfigSnapshot;
+import org.cowslipstair.model.config.Zone;
+import org.cowslipstair.model.pool.CallReport;
+import org.cowslipstair.port.MonotonicClock;
+
+/** One call's use of a lease. */
+final class LeasePermit implements Permit {
+  private static final long LONGEST_TURN_NS = 500_000_000L;
+  private final Lease lease;
+  private final BackendServer backend;
+  private final LeaseRuntime runtime;
+  private final MonotonicClock clock;
+  private final Supplier<ConfigSnapshot> snapshot;
+  private final InvariantMonitor monitor;
+  private final AtomicBoolean released = new AtomicBoolean();
+
+  LeasePermit(
+      Lease lease,
+      BackendServer backend,
+      LeaseRuntime runtime,
+      MonotonicClock clock,
+      Supplier<ConfigSnapshot> snapshot,
+      InvariantMonitor monitor) {
+    this.lease = lease;
+    this.backend = backend;
+    this.runtime = runtime;
+    this.clock = clock;
+    this.snapshot = snapshot;
+    this.monitor = monitor;
+  }
+
+  @Override
+  public BackendServer backend() {
+    return backend;
+  }
+
+  @Override
+  public boolean mayStart() {
+    long nowNs = clock.nowNs();
+    boolean paused = nowNs - runtime.lastTurnNs() > LONGEST_TURN_NS;
+    if (paused || released.get() || !lease.mayStart(nowNs)) {
+      return false;
+    }
+    ConfigSnapshot now = snapshot.get();
+    if (!now.takesNewCalls(backend.name())) {
+      return false;
+    }
+    checkStart(now);
+    return true;
+  }
+
+  private void checkStart(ConfigSnapshot now) {
+    boolean out = now.zone(backend.zone()).map(Zone::isOut).orElse(true);
+    String subject = backend.name().value();
+    monitor.checkAtMost(Invariant.NO_START_IN_ZONE_OUT, subject, out ? 1 : 0, 0);
+    boolean leaving = now.backend(backend.name()).map(BackendServer::isLeaving).orElse(true);
+    monitor.checkAtMost(Invariant.NO_START_ON_LEAVING_BACKEND, subject, leaving ? 1 : 0, 0);
+  }
+
+  @Override
+  public long expiresAtNs() {
+    return lease.expiresAtNs();
+  }
+
+  @Override
+  public void release(CallReport report) {
+    if (!released.compareAndSet(false, true)) {
+      return;
+    }
+    if (!runtime.idle().keep(lease, report, clock.nowNs())) {
+      runtime.release(lease, report);
+    }
+  }
+}
