--- a/standins/src/main/java/org/cowslipstair/standins/backend/BackendHandler.java
+++ b/standins/src/main/java/org/cowslipstair/standins/backend/BackendHandler.java
@@ -27,6 +27,8 @@
   private static final String BACKEND = "Standin-Backend";
   private static final String ANSWER_BYTES = "Standin-Answer-Bytes";
   private static final String SERVICE_US = "Standin-Service-Us";
+  private static final String SPENT_US = "Standin-Spent-Us";
+  private static final String WORKED_US = "Standin-Worked-Us";
   private static final String UPLOAD_BYTES = "Standin-Upload-Bytes";
   private static final String UPLOAD_CRC32 = "Standin-Upload-Crc32";
   private static final Set<String> IDEMPOTENT_METHODS =
@@ -55,6 +57,7 @@
     if (control.handle(request, response, callback)) {
       return true;
     }
+    long arrivedNs = System.nanoTime();
     boolean readFirst = hasSmallBody(request);
     Optional<Upload> early = Optional.empty();
     if (readFirst) {
@@ -70,7 +73,7 @@
     ServiceModel.Step entered =
         standin.model().enter(deadlineNs, readFirst ? callerGone : () -> false);
     switch (entered) {
-      case DONE -> serve(request, response, callback, early, deadlineNs);
+      case DONE -> serve(request, response, callback, early, deadlineNs, arrivedNs);
       case NOT_RUN -> {
         response.getHeaders().put(NOT_RUN, "1");
         end(response, 503, callback);
@@ -85,7 +88,8 @@
       Response response,
       Callback callback,
       Optional<Upload> early,
-      long deadlineNs)
+      long deadlineNs,
+      long arrivedNs)
       throws IOException {
     AtomicBoolean left = new AtomicBoolean();
     try {
@@ -106,10 +110,14 @@
       Optional<Long> serviceUs = number(request, SERVICE_US);
       long workNs =
           serviceUs.map(TimeUnit.MICROSECONDS::toNanos).orElseGet(standin.model()::drawWorkNs);
+      long startedNs = System.nanoTime();
       ServiceModel.Step worked =
           standin.model().work(workNs, deadlineNs, () -> isCallerGone(request));
       switch (worked) {
-        case DONE -> answer(request, response, callback, upload.get(), left);
+        case DONE -> {
+          putTimes(response, arrivedNs, startedNs);
+          answer(request, response, callback, upload.get(), left);
+        }
         case DEADLINE_PASSED -> {
           leaveOnce(left);
           end(response, 504, callback);
@@ -124,6 +132,13 @@
     }
   }
 
+  /** Tells the caller how long the call was here, and how long of that it was worked on. */
+  private static void putTimes(Response response, long arrivedNs, long startedNs) {
+    long nowNs = System.nanoTime();
+    response.getHeaders().put(SPENT_US, TimeUnit.NANOSECONDS.toMicros(nowNs - arrivedNs));
+    response.getHeaders().put(WORKED_US, TimeUnit.NANOSECONDS.toMicros(nowNs - startedNs));
+  }
+
   private void answer(
       Request request, Response response, Callback callback, Upload upload, AtomicBoolean left)
       throws IOException {
