--- /dev/null
+++ b/lib/src/main/java/org/cowslipstair/logic/config/ConfigAction.java
@@ -0,0 +1,23 @@
+package org.cowslipstair.logic.config;
+
+import org.cowslipstair.model.config.ConfigSnapshot;
+import org.cowslipstair.model.fleet.GatewayName;
+import org.cowslipstair.model.peer.ConfigMessage;
+
+/** What a gateway does for its configuration. */
+public sealed interface ConfigAction {
+  /** Sends a message to one peer. */
+  record Send(GatewayName to, ConfigMessage message) implements ConfigAction {}
+
+  /** Sends a message to all peers. */
+  record Broadcast(ConfigMessage message) implements ConfigAction {}
+
+  /** Brings a configuration into force. */
+  record Publish(ConfigSnapshot snapshot) implements ConfigAction {}
+
+  /** Lists the store again instead of resuming the watch. */
+  record ListAgain() implements ConfigAction {}
+
+  /** Reports an event. */
+  record Report(ConfigEvent event) implements ConfigAction {}
+}
--- /dev/null
+++ b/lib/src/main/java/org/cowslipstair/logic/config/package-info.java
@@ -0,0 +1,5 @@
+/** Merges configuration from the platform's store and from peers; versions only rise. */
+@NullMarked
+package org.cowslipstair.logic.config;
+
+import org.jspecify.annotations.NullMarked;
--- a/lib/src/main/java/org/cowslipstair/model/peer/MembershipMessage.java
+++ b/lib/src/main/java/org/cowslipstair/model/peer/MembershipMessage.java
@@ -1,7 +1,7 @@
 package org.cowslipstair.model.peer;
 
 import java.util.List;
-import org.cowslipstair.model.config.StoreId;
+import org.cowslipstair.model.config.ConfigVersion;
 import org.cowslipstair.model.fleet.Member;
 import org.cowslipstair.model.pool.PoolId;
 
@@ -14,11 +14,18 @@
    * Sign of life.
    *
    * @param sequence rises by one with each heartbeat of this process life
-   * @param configRevision revision of the configuration that the sender has in force
+   * @param intervalMs time until the next heartbeat
+   * @param config configuration that the sender has in force
+   * @param storeContact whether the store lately confirmed the sender's configuration
    * @param freeSlots free slots of the pools whose broker is the sender
    */
   record Heartbeat(
-      long sequence, Member sender, StoreId storeId, long configRevision, List<PoolFree> freeSlots)
+      long sequence,
+      Member sender,
+      long intervalMs,
+      ConfigVersion config,
+      boolean storeContact,
+      List<PoolFree> freeSlots)
       implements MembershipMessage {
     /** Copies the list. */
     public Heartbeat {
@@ -28,4 +35,12 @@
 
   /** Free slots of one pool. */
   record PoolFree(PoolId pool, int free) {}
+
+  /** Members that the sender is connected to; the receiver dials those that it does not know. */
+  record Roster(List<Member> members) implements MembershipMessage {
+    /** Copies the list. */
+    public Roster {
+      members = List.copyOf(members);
+    }
+  }
 }
