--- a/lib/src/main/java/org/cowslipstair/logic/membership/MembershipCore.java
+++ b/lib/src/main/java/org/cowslipstair/logic/membership/MembershipCore.java
@@ -20,6 +20,7 @@
 import org.cowslipstair.model.peer.MembershipMessage.Hello;
 import org.cowslipstair.model.peer.MembershipMessage.PoolFree;
 import org.cowslipstair.model.peer.MembershipMessage.Roster;
+import org.cowslipstair.model.peer.MembershipMessage.Superseded;
 
 /**
  * Decides which gateways are members of the fleet, from the platform's lagging list, connections
@@ -33,6 +34,7 @@
 
   private Member self;
   private boolean isSuperseded;
+  private final Set<GatewayId> reportedNamesakes = new HashSet<>();
   private Set<InstanceEntry> namesakes = Set.of();
   private Set<InstanceEntry> dialled = Set.of();
   private FleetView view;
@@ -113,6 +115,9 @@
         peers.computeIfAbsent(id.name(), _ -> new Peer(Peer.unlisted(id.name(), self.zone())));
     if (id.incarnation() < peer.incarnation) {
       report(new MembershipEvent.StaleIncarnation(id, peer.id()));
+      Member newer = new Member(peer.id(), self.zone(), peer.address(), MemberState.LIVE);
+      Superseded answer = new Superseded(peer.member.orElse(newer));
+      actions.add(new MembershipAction.Send(id.name(), answer));
       return finish(nowNs);
     }
     if (id.incarnation() > peer.incarnation) {
@@ -149,14 +154,17 @@
     return finish(nowNs);
   }
 
-  /** Takes the refusal of a connection because a newer process has the name of this one. */
-  public List<MembershipAction> onSuperseded(Member by, long nowNs) {
+  /** Takes the news that another process runs under the name of this one. */
+  public List<MembershipAction> onNamesake(Member other, long nowNs) {
     observeTime(nowNs);
-    if (!isSuperseded) {
-      isSuperseded = true;
-      report(new MembershipEvent.Superseded(by.id(), by.peerAddress()));
+    if (other.id().incarnation() != self.id().incarnation() && reportedNamesakes.add(other.id())) {
       report(
-          new MembershipEvent.NameConflict(self.id().name(), self.peerAddress(), by.peerAddress()));
+          new MembershipEvent.NameConflict(
+              self.id().name(), self.peerAddress(), other.peerAddress()));
+    }
+    if (other.id().incarnation() > self.id().incarnation() && !isSuperseded) {
+      isSuperseded = true;
+      report(new MembershipEvent.Superseded(other.id(), other.peerAddress()));
     }
     return finish(nowNs);
   }
@@ -185,6 +193,11 @@
       }
       case Heartbeat heartbeat -> onHeartbeat(from, heartbeat, nowNs);
       case Roster roster -> roster.members().forEach(this::onRosterMember);
+      case Superseded superseded -> {
+        if (superseded.by().id().name().equals(self.id().name())) {
+          actions.addAll(onNamesake(superseded.by(), nowNs));
+        }
+      }
     }
     return finish(nowNs);
   }
--- a/lib/src/main/java/org/cowslipstair/model/peer/MembershipMessage.java
+++ b/lib/src/main/java/org/cowslipstair/model/peer/MembershipMessage.java
@@ -43,4 +43,7 @@
       members = List.copyOf(members);
     }
   }
+
+  /** Tells the receiver that a newer process has its name. */
+  record Superseded(Member by) implements MembershipMessage {}
 }
--- a/lib/src/main/java/org/cowslipstair/port/PeerTransport.java
+++ b/lib/src/main/java/org/cowslipstair/port/PeerTransport.java
@@ -5,6 +5,7 @@
 import org.cowslipstair.model.fleet.GatewayId;
 import org.cowslipstair.model.fleet.GatewayName;
 import org.cowslipstair.model.fleet.InstanceEntry;
+import org.cowslipstair.model.fleet.Member;
 import org.cowslipstair.model.peer.PeerMessage;
 
 /** Carries messages between gateways, in order and at most once per connection. */
@@ -31,5 +32,8 @@
 
     /** A message arrived. */
     record Received(GatewayId from, PeerMessage message) implements PeerEvent {}
+
+    /** Another process runs under the name of this one. */
+    record Namesake(Member other) implements PeerEvent {}
   }
 }
