--- a/lib/src/main/java/org/cowslipstair/logic/object/ObjectFault.java
+++ b/lib/src/main/java/org/cowslipstair/logic/object/FieldFault.java
@@ -7,10 +7,10 @@
  * @param found what the field holds, as text
  * @param accepted what the field accepts
  */
-public record ObjectFault(Kind kind, String path, String found, String accepted) {
+public record FieldFault(Kind kind, String path, String found, String accepted) {
   /** Kinds of fault. */
   public enum Kind {
-    NOT_JSON("is not JSON"),
+    SYNTAX("is not well-formed"),
     UNKNOWN_FIELD("is not a known field"),
     MISSING("is missing"),
     WRONG_TYPE("has the wrong type"),
--- a/lib/src/main/java/org/cowslipstair/logic/object/InvalidObjectException.java
+++ b/lib/src/main/java/org/cowslipstair/logic/object/InvalidObjectException.java
@@ -9,13 +9,13 @@
 public final class InvalidObjectException extends Exception {
   @Serial private static final long serialVersionUID = 1L;
   private final transient ObjectKey key;
-  private final transient List<ObjectFault> faults;
+  private final transient List<FieldFault> faults;
 
   /** Creates the exception. */
-  public InvalidObjectException(ObjectKey key, List<ObjectFault> faults) {
+  public InvalidObjectException(ObjectKey key, List<FieldFault> faults) {
     super(
         faults.stream()
-            .map(ObjectFault::toString)
+            .map(FieldFault::toString)
             .collect(Collectors.joining("; ", key + " is not valid: ", "")));
     this.key = key;
     this.faults = List.copyOf(faults);
@@ -27,7 +27,7 @@
   }
 
   /** Returns all faults of the object. */
-  public List<ObjectFault> faults() {
+  public List<FieldFault> faults() {
     return faults;
   }
 }
--- a/lib/src/main/java/org/cowslipstair/logic/object/ObjectJson.java
+++ b/lib/src/main/java/org/cowslipstair/logic/object/ObjectJson.java
@@ -60,19 +60,18 @@
       throw new InvalidObjectException(
           key,
           List.of(
-              new ObjectFault(
-                  ObjectFault.Kind.NOT_JSON, "", e.getOriginalMessage(), "a JSON object")));
+              new FieldFault(FieldFault.Kind.SYNTAX, "", e.getOriginalMessage(), "a JSON object")));
     }
   }
 
   /** Reads the body of an object from a parsed tree. */
   public static ConfigObject read(ObjectKey key, JsonNode body) throws InvalidObjectException {
     if (!(body instanceof ObjectNode fieldsNode)) {
-      ObjectFault fault =
-          new ObjectFault(ObjectFault.Kind.WRONG_TYPE, "", body.toString(), "a JSON object");
+      FieldFault fault =
+          new FieldFault(FieldFault.Kind.WRONG_TYPE, "", body.toString(), "a JSON object");
       throw new InvalidObjectException(key, List.of(fault));
     }
-    FieldReader fields = new FieldReader(key, fieldsNode);
+    FieldReader fields = new FieldReader(fieldsNode);
     ConfigObject object =
         switch (key.kind()) {
           case ZONE -> new Zone(new ZoneName(key.name()), fields.labels());
@@ -81,7 +80,10 @@
           case ROUTING_RULE -> routingRule(key, fields);
           case ATTEMPT -> throw notConfiguration(key);
         };
-    fields.finish();
+    List<FieldFault> faults = fields.finish();
+    if (!faults.isEmpty()) {
+      throw new InvalidObjectException(key, faults);
+    }
     return object;
   }
 
@@ -90,8 +92,7 @@
     return new InvalidObjectException(
         key,
         List.of(
-            new ObjectFault(
-                ObjectFault.Kind.NOT_ACCEPTED, "kind", key.kind().wireName(), accepted)));
+            new FieldFault(FieldFault.Kind.NOT_ACCEPTED, "kind", key.kind().wireName(), accepted)));
   }
 
   private static BackendServer backendServer(ObjectKey key, FieldReader fields) {
