Check incarnations inside the program and list at once when asked

Cause: an accepted store waited for the next backoff; incarnations were unchecked. Change: MembershipCore takes an InvariantMonitor (INCARNATION_NEVER_FALLS); HeartbeatIntake split off; ConfigRuntime wakes the watcher to list.

--- a/lib/src/main/java/org/cowslipstair/logic/membership/MembershipCore.java
+++ b/lib/src/main/java/org/cowslipstair/logic/membership/MembershipCore.java
@@ -8,6 +8,8 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import org.cowslipstair.logic.invariant.Invariant;
+import org.cowslipstair.logic.invariant.InvariantMonitor;
 import org.cowslipstair.logic.membership.MembershipEvent.DeathReason;
 import org.cowslipstair.model.config.ConfigVersion;
 import org.cowslipstair.model.fleet.GatewayId;
@@ -30,6 +32,8 @@
   private final MembershipSettings settings;
   private final Map<GatewayName, Peer> peers = new TreeMap<>();
   private final Isolation isolation;
+  private final HeartbeatIntake intake;
+  private final InvariantMonitor monitor;
   private final List<MembershipAction> actions = new ArrayList<>();
 
   private Member self;
@@ -45,10 +49,13 @@
   private List<PoolFree> freeSlots = List.of();
 
   /** Creates a core that knows no peer. */
-  public MembershipCore(MembershipSettings settings, Member self, long nowNs) {
+  public MembershipCore(
+      MembershipSettings settings, Member self, InvariantMonitor monitor, long nowNs) {
     this.settings = settings;
+    this.monitor = monitor;
     this.self = self;
     this.isolation = new Isolation(settings, nowNs);
+    this.intake = new HeartbeatIntake(settings, this::report);
     this.lastTurnNs = nowNs;
     this.nextHeartbeatNs = nowNs;
     this.view = new FleetView(1, self.id(), List.of(self), false);
@@ -174,16 +181,11 @@
     observeTime(nowNs);
     Peer peer = peers.get(from.name());
     if (peer != null && peer.isConnected && peer.incarnation == from.incarnation()) {
-      extend(peer, peer.silentAtNs - peer.lastHeardNs, nowNs);
+      peer.heard(peer.silentAtNs - peer.lastHeardNs, nowNs);
     }
     return takeActions();
   }
 
-  private static void extend(Peer peer, long silenceNs, long nowNs) {
-    peer.lastHeardNs = nowNs;
-    peer.silentAtNs = nowNs + silenceNs;
-  }
-
   /** Takes a message of a peer. */
   public List<MembershipAction> onMessage(GatewayId from, MembershipMessage message, long nowNs) {
     observeTime(nowNs);
@@ -191,7 +193,8 @@
       case Hello _ -> {
         // The transport consumes it.
       }
-      case Heartbeat heartbeat -> onHeartbeat(from, heartbeat, nowNs);
+      case Heartbeat heartbeat ->
+          intake.take(Optional.ofNullable(peers.get(from.name())), from, heartbeat, nowNs);
       case Roster roster -> roster.members().forEach(this::onRosterMember);
       case Superseded superseded -> {
         if (superseded.by().id().name().equals(self.id().name())) {
@@ -208,65 +211,6 @@
     }
   }
 
-  private void onHeartbeat(GatewayId from, Heartbeat heartbeat, long nowNs) {
-    GatewayId sender = heartbeat.sender().id();
-    if (!sender.equals(from)) {
-      report(new MembershipEvent.ForeignHeartbeat(from, sender));
-      return;
-    }
-    Peer peer = peers.get(sender.name());
-    if (peer == null) {
-      return;
-    }
-    if (sender.incarnation() < peer.incarnation) {
-      onStaleIncarnation(peer, heartbeat, nowNs);
-      return;
-    }
-    if (sender.incarnation() > peer.incarnation || !peer.isConnected) {
-      return; // Counts only once its connection is known; it will be repeated.
-    }
-    if (heartbeat.sequence() <= peer.sequence) {
-      report(new MembershipEvent.StaleSequence(sender, heartbeat.sequence(), peer.sequence));
-      return;
-    }
-    accept(peer, heartbeat, nowNs);
-  }
-
-  private void onStaleIncarnation(Peer peer, Heartbeat heartbeat, long nowNs) {
-    report(new MembershipEvent.StaleIncarnation(heartbeat.sender().id(), peer.id()));
-    peer.namesakeSinceNs = Math.min(peer.namesakeSinceNs, nowNs);
-    boolean keepsSending = nowNs >= peer.namesakeSinceNs + settings.namesakeNs();
-    if (keepsSending && !peer.isConflictReported) {
-      peer.isConflictReported = true;
-      report(
-          new MembershipEvent.NameConflict(
-              peer.name(), peer.address(), heartbeat.sender().peerAddress()));
-    }
-  }
-
-  private void accept(Peer peer, Heartbeat heartbeat, long nowNs) {
-    Member sender = heartbeat.sender();
-    Optional<Member> known = peer.member;
-    if (known.isPresent() && !known.get().peerAddress().equals(sender.peerAddress())) {
-      report(
-          new MembershipEvent.NameConflict(
-              peer.name(), known.get().peerAddress(), sender.peerAddress()));
-    }
-    boolean isNew = !peer.isAlive();
-    boolean wasLive = known.filter(m -> m.state() == MemberState.LIVE).isPresent();
-    peer.member = Optional.of(sender);
-    peer.sequence = heartbeat.sequence();
-    peer.hasStoreContact = heartbeat.storeContact();
-    peer.hasLeft = false;
-    extend(peer, settings.silenceNs(TimeUnit.MILLISECONDS.toNanos(heartbeat.intervalMs())), nowNs);
-    if (isNew) {
-      report(new MembershipEvent.Joined(sender.id()));
-    }
-    if (sender.state() == MemberState.LEAVING && (isNew || wasLive)) {
-      report(new MembershipEvent.Leaving(sender.id()));
-    }
-  }
-
   /** Announces a planned stop. */
   public List<MembershipAction> leave(long nowNs) {
     observeTime(nowNs);
@@ -359,12 +303,26 @@
     boolean refusesWork = isSuperseded || isolation.isIsolated();
     List<Member> members = roster();
     if (!members.equals(view.members()) || refusesWork != view.isolated()) {
+      checkIncarnations(members);
       view = new FleetView(view.number() + 1, self.id(), members, refusesWork);
       actions.add(new MembershipAction.Publish(view));
     }
     return takeActions();
   }
 
+  private void checkIncarnations(List<Member> members) {
+    for (Member member : members) {
+      view.member(member.id().name())
+          .ifPresent(
+              previous ->
+                  monitor.checkAtMost(
+                      Invariant.INCARNATION_NEVER_FALLS,
+                      member.id().name().value(),
+                      previous.id().incarnation(),
+                      member.id().incarnation()));
+    }
+  }
+
   private void report(MembershipEvent event) {
     actions.add(new MembershipAction.Report(event));
   }
--- a/lib/src/main/java/org/cowslipstair/logic/membership/Peer.java
+++ b/lib/src/main/java/org/cowslipstair/logic/membership/Peer.java
@@ -71,6 +71,12 @@
     return isConnected && isAlive() && lastHeardNs >= sinceNs;
   }
 
+  /** Records a sign of life. */
+  void heard(long silenceNs, long nowNs) {
+    lastHeardNs = nowNs;
+    silentAtNs = nowNs + silenceNs;
+  }
+
   void markDead() {
     member = member.map(m -> new Member(m.id(), m.zone(), m.peerAddress(), MemberState.DEAD));
   }
--- a/lib/src/main/java/org/cowslipstair/runtime/config/ConfigRuntime.java
+++ b/lib/src/main/java/org/cowslipstair/runtime/config/ConfigRuntime.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import org.cowslipstair.logic.config.ConfigAction;
 import org.cowslipstair.logic.config.ConfigBatch;
@@ -28,6 +30,7 @@
   private final AtomicReference<ConfigSnapshot> snapshot =
       new AtomicReference<>(ConfigSnapshot.empty());
   private final AtomicReference<ConfigStatus> status;
+  private final Semaphore listRequests = new Semaphore(0);
 
   /** Creates a runtime without configuration. */
   public ConfigRuntime(
@@ -90,7 +93,7 @@
   public CompletableFuture<ConfigStatus> acceptStore(StoreId storeId) {
     return CompletableFuture.supplyAsync(
         () -> {
-          apply(core.acceptStore(storeId));
+          requestListIf(apply(core.acceptStore(storeId)));
           return status.get();
         },
         controlLoop);
@@ -108,7 +111,20 @@
 
   /** Takes a message of a peer; on the control loop. */
   public void onMessage(GatewayName from, ConfigMessage message) {
-    apply(core.onMessage(from, message, clock.nowNs()));
+    requestListIf(apply(core.onMessage(from, message, clock.nowNs())));
+  }
+
+  private void requestListIf(boolean listAgain) {
+    if (listAgain) {
+      listRequests.release();
+    }
+  }
+
+  /** Waits until the store has to be listed at once; returns false when the time is over. */
+  public boolean awaitListRequest(long timeoutMs) throws InterruptedException {
+    boolean requested = listRequests.tryAcquire(timeoutMs, TimeUnit.MILLISECONDS);
+    listRequests.drainPermits();
+    return requested;
   }
 
   /** Does what is due; on the control loop. */
--- a/lib/src/main/java/org/cowslipstair/runtime/config/ConfigWatcher.java
+++ b/lib/src/main/java/org/cowslipstair/runtime/config/ConfigWatcher.java
@@ -72,7 +72,9 @@
     while (!closed.get()) {
       try {
         step();
-        TimeUnit.MILLISECONDS.sleep(backoff.delayMs(failures, random));
+        if (runtime.awaitListRequest(backoff.delayMs(failures, random))) {
+          listNext = true;
+        }
       } catch (InterruptedException e) {
         return;
       }
