--- a/adapters/src/main/java/org/cowslipstair/adapters/settings/ObjectFiles.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/settings/ObjectFiles.java
@@ -14,7 +14,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.cowslipstair.logic.object.FieldFault;
-import org.cowslipstair.logic.object.InvalidObjectException;
+import org.cowslipstair.logic.object.InvalidFieldsException;
 import org.cowslipstair.logic.object.ObjectJson;
 import org.cowslipstair.model.config.ConfigObject;
 import org.cowslipstair.model.config.ObjectKey;
@@ -142,7 +142,7 @@
             place.locate(new FieldFault(FieldFault.Kind.DUPLICATE, NAME, key.name(), "once")));
       }
       places.putIfAbsent(key, place);
-    } catch (InvalidObjectException e) {
+    } catch (InvalidFieldsException e) {
       e.faults().forEach(fault -> faults.add(place.locate(fault)));
     }
   }
--- a/lib/src/main/java/org/cowslipstair/logic/object/InvalidObjectException.java
+++ b/lib/src/main/java/org/cowslipstair/logic/object/InvalidFieldsException.java
@@ -5,14 +5,14 @@
 import java.util.stream.Collectors;
 import org.cowslipstair.model.config.ObjectKey;
 
-/** An object that is not valid, with every fault that was found. */
-public final class InvalidObjectException extends Exception {
+/** An object whose fields are not valid, with every fault that was found. */
+public final class InvalidFieldsException extends Exception {
   @Serial private static final long serialVersionUID = 1L;
   private final transient ObjectKey key;
   private final transient List<FieldFault> faults;
 
   /** Creates the exception. */
-  public InvalidObjectException(ObjectKey key, List<FieldFault> faults) {
+  public InvalidFieldsException(ObjectKey key, List<FieldFault> faults) {
     super(
         faults.stream()
             .map(FieldFault::toString)
--- /dev/null
+++ b/lib/src/main/java/org/cowslipstair/logic/object/JsonObjectReader.java
@@ -0,0 +1,21 @@
+package org.cowslipstair.logic.object;
+
+import java.util.stream.Collectors;
+import org.cowslipstair.logic.config.InvalidObjectException;
+import org.cowslipstair.logic.config.ObjectReader;
+import org.cowslipstair.model.config.ConfigObject;
+import org.cowslipstair.model.config.StoredObject;
+
+/** Reads stored JSON objects for the merge of configuration. */
+public final class JsonObjectReader implements ObjectReader {
+  @Override
+  public ConfigObject read(StoredObject stored) throws InvalidObjectException {
+    try {
+      return ObjectJson.read(stored);
+    } catch (InvalidFieldsException e) {
+      String reason =
+          e.faults().stream().map(FieldFault::toString).collect(Collectors.joining("; "));
+      throw new InvalidObjectException(stored.key(), reason);
+    }
+  }
+}
--- a/lib/src/main/java/org/cowslipstair/logic/object/ObjectJson.java
+++ b/lib/src/main/java/org/cowslipstair/logic/object/ObjectJson.java
@@ -48,16 +48,16 @@
   private ObjectJson() {}
 
   /** Reads an object as the store keeps it. */
-  public static ConfigObject read(StoredObject stored) throws InvalidObjectException {
+  public static ConfigObject read(StoredObject stored) throws InvalidFieldsException {
     return read(stored.key(), stored.json());
   }
 
   /** Reads the JSON body of an object. */
-  public static ConfigObject read(ObjectKey key, String json) throws InvalidObjectException {
+  public static ConfigObject read(ObjectKey key, String json) throws InvalidFieldsException {
     try {
       return read(key, MAPPER.readTree(json));
     } catch (JsonProcessingException e) {
-      throw new InvalidObjectException(
+      throw new InvalidFieldsException(
           key,
           List.of(
               new FieldFault(FieldFault.Kind.SYNTAX, "", e.getOriginalMessage(), "a JSON object")));
@@ -65,11 +65,11 @@
   }
 
   /** Reads the body of an object from a parsed tree. */
-  public static ConfigObject read(ObjectKey key, JsonNode body) throws InvalidObjectException {
+  public static ConfigObject read(ObjectKey key, JsonNode body) throws InvalidFieldsException {
     if (!(body instanceof ObjectNode fieldsNode)) {
       FieldFault fault =
           new FieldFault(FieldFault.Kind.WRONG_TYPE, "", body.toString(), "a JSON object");
-      throw new InvalidObjectException(key, List.of(fault));
+      throw new InvalidFieldsException(key, List.of(fault));
     }
     FieldReader fields = new FieldReader(fieldsNode);
     ConfigObject object =
@@ -82,14 +82,14 @@
         };
     List<FieldFault> faults = fields.finish();
     if (!faults.isEmpty()) {
-      throw new InvalidObjectException(key, faults);
+      throw new InvalidFieldsException(key, faults);
     }
     return object;
   }
 
-  private static InvalidObjectException notConfiguration(ObjectKey key) {
+  private static InvalidFieldsException notConfiguration(ObjectKey key) {
     String accepted = "zone, backend-server, service, routing-rule";
-    return new InvalidObjectException(
+    return new InvalidFieldsException(
         key,
         List.of(
             new FieldFault(FieldFault.Kind.NOT_ACCEPTED, "kind", key.kind().wireName(), accepted)));
--- a/lib/src/test/java/org/cowslipstair/logic/object/ObjectJsonTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/object/ObjectJsonTest.java
@@ -38,7 +38,7 @@
   private static final ObjectKey BACKEND = new ObjectKey(ObjectKind.BACKEND_SERVER, "watch-1");
 
   private static List<FieldFault> faults(ObjectKey key, String json) {
-    return assertThrows(InvalidObjectException.class, () -> ObjectJson.read(key, json)).faults();
+    return assertThrows(InvalidFieldsException.class, () -> ObjectJson.read(key, json)).faults();
   }
 
   @Test
@@ -79,7 +79,7 @@
 
   @Property(seed = "1")
   void writtenObjectReadsBackEqual(@ForAll("objects") ConfigObject object)
-      throws InvalidObjectException {
+      throws InvalidFieldsException {
     assertThat(ObjectJson.read(object.key(), ObjectJson.write(object)), is(object));
   }
 
