Add the operators' command line

Operators change labels while others do the same and while the store may lose its answers. Writes are conditional; a lost answer is resolved by reading the change id back; a label change is made again on conflict unless the same label was changed, which is refused with both values; changes wait until all live gateways have them in force.

--- /dev/null
+++ b/cli/src/main/java/org/cowslipstair/cli/ApplyCommand.java
@@ -0,0 +1,82 @@
+package org.cowslipstair.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.cowslipstair.adapters.settings.InvalidFileException;
+import org.cowslipstair.adapters.settings.ObjectFiles;
+import org.cowslipstair.logic.object.ReferenceCheck;
+import org.cowslipstair.model.config.ConfigObject;
+import org.cowslipstair.model.config.ObjectKey;
+import org.cowslipstair.port.PlatformStore.ObjectBatch;
+import org.cowslipstair.port.StoreException;
+
+/** Writes the objects of files to the store; validates everything before the first write. */
+@Parameters(commandDescription = "write objects from TOML files: apply -f DIR|FILE [--dry-run]")
+final class ApplyCommand implements Command {
+  @ParametersDelegate private final CommonOptions common = new CommonOptions();
+
+  @Parameter(names = "-f", required = true, description = "file or directory of files")
+  private Path from = Path.of(".");
+
+  @Parameter(names = "--dry-run", description = "only show what would change")
+  private boolean dryRun;
+
+  @Override
+  public CommonOptions common() {
+    return common;
+  }
+
+  @Override
+  public void run(Session session) throws CliException, InterruptedException {
+    ObjectFiles files = CheckCommand.read(from);
+    Objects objects = session.objects();
+    ObjectBatch stored = objects.list();
+    requireReferences(files, Objects.valid(stored));
+    ApplyPlan plan = ApplyPlan.of(files.objects(), stored);
+    long revision = stored.revision();
+    List<List<String>> rows = new ArrayList<>();
+    for (ApplyPlan.Step step : plan.steps()) {
+      long version = step.storedVersion();
+      if (step.isChange() && !dryRun) {
+        version = write(session, objects, step, rows.size());
+        revision = Math.max(revision, version);
+      }
+      String differences = String.join("; ", step.differences());
+      rows.add(
+          List.of(step.key().toString(), step.outcome(), String.valueOf(version), differences));
+    }
+    session.printer().rows(List.of("object", "outcome", "version", "differences"), rows);
+    if (!dryRun) {
+      session.awaitInForce(revision);
+    }
+  }
+
+  private static long write(Session session, Objects objects, ApplyPlan.Step step, int done)
+      throws CliException, InterruptedException {
+    try {
+      return objects.put(step.key(), step.body().toString(), step.storedVersion());
+    } catch (StoreException e) {
+      session.printer().progress("stopped after the first %d objects".formatted(done));
+      throw CliException.of(e);
+    }
+  }
+
+  private static void requireReferences(ObjectFiles files, Collection<ConfigObject> stored)
+      throws CliException {
+    Map<ObjectKey, ConfigObject> all = new TreeMap<>();
+    stored.forEach(object -> all.put(object.key(), object));
+    files.objects().forEach(object -> all.put(object.key(), object));
+    try {
+      files.requireNone(ReferenceCheck.faults(all.values()));
+    } catch (InvalidFileException e) {
+      throw new CliException.InvalidInput(e);
+    }
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/cowslipstair/cli/CheckCommand.java
@@ -0,0 +1,43 @@
+package org.cowslipstair.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import java.io.IOException;
+import java.nio.file.Path;
+import org.cowslipstair.adapters.settings.InvalidFileException;
+import org.cowslipstair.adapters.settings.ObjectFiles;
+import org.cowslipstair.logic.object.ReferenceCheck;
+
+/** Validates files without a store. */
+@Parameters(commandDescription = "validate TOML files without a store: check -f DIR|FILE")
+final class CheckCommand implements Command {
+  @ParametersDelegate private final CommonOptions common = new CommonOptions();
+
+  @Parameter(names = "-f", required = true, description = "file or directory of files")
+  private Path from = Path.of(".");
+
+  @Override
+  public CommonOptions common() {
+    return common;
+  }
+
+  @Override
+  public void run(Session session) throws CliException {
+    ObjectFiles files = read(from);
+    try {
+      files.requireNone(ReferenceCheck.faults(files.objects()));
+    } catch (InvalidFileException e) {
+      throw new CliException.InvalidInput(e);
+    }
+    session.printer().line("%d objects are valid".formatted(files.objects().size()));
+  }
+
+  static ObjectFiles read(Path from) throws CliException {
+    try {
+      return ObjectFiles.read(from);
+    } catch (IOException | InvalidFileException e) {
+      throw new CliException.InvalidInput(e);
+    }
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/cowslipstair/cli/Cli.java
@@ -0,0 +1,92 @@
+package org.cowslipstair.cli;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
+import java.io.PrintStream;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** Runs one command of the command line; may be embedded. */
+public final class Cli {
+  private static final String PROGRAM = "cowslipstair";
+  private static final String EXIT_CODES =
+      """
+      Exit codes: 0 done, 1 wrong usage, 2 invalid input, 3 somebody else changed it,
+      4 store unavailable, 5 not in force in time, 6 not found
+      """;
+
+  private final PrintStream out;
+  private final PrintStream err;
+  private final Map<String, String> environment;
+
+  /** Creates a command line that writes to two streams. */
+  public Cli(PrintStream out, PrintStream err, Map<String, String> environment) {
+    this.out = out;
+    this.err = err;
+    this.environment = Map.copyOf(environment);
+  }
+
+  private static Map<String, Command> commands() {
+    Map<String, Command> commands = new LinkedHashMap<>();
+    commands.put("apply", new ApplyCommand());
+    commands.put("check", new CheckCommand());
+    commands.put("get", new GetCommand());
+    commands.put("describe", new DescribeCommand());
+    commands.put("delete", new DeleteCommand());
+    commands.put("label", new LabelCommand());
+    commands.put("zone", new StateCommand(StateCommand.Subject.ZONE));
+    commands.put("backend", new StateCommand(StateCommand.Subject.BACKEND));
+    commands.put("status", new StatusCommand());
+    commands.put("dump", new DumpCommand());
+    commands.put("explain", new ExplainCommand());
+    commands.put("store", new StoreCommand());
+    return commands;
+  }
+
+  /** Runs the command that the arguments name. */
+  public ExitCode run(String... arguments) throws InterruptedException {
+    Map<String, Command> commands = commands();
+    JCommander.Builder builder = JCommander.newBuilder().programName(PROGRAM);
+    commands.forEach(builder::addCommand);
+    JCommander commander = builder.build();
+    if (arguments.length == 0 || "help".equals(arguments[0]) || "--help".equals(arguments[0])) {
+      printUsage(commander);
+      return arguments.length == 0 ? ExitCode.USAGE : ExitCode.OK;
+    }
+    try {
+      commander.parse(arguments);
+    } catch (ParameterException e) {
+      err.println(PROGRAM + ": " + e.getMessage());
+      return ExitCode.USAGE;
+    }
+    String name = commander.getParsedCommand();
+    Command command = commands.get(name);
+    if (command == null) {
+      printUsage(commander);
+      return ExitCode.USAGE;
+    }
+    if (command.common().isHelp()) {
+      printUsage(commander.getCommands().get(name));
+      return ExitCode.OK;
+    }
+    return run(command);
+  }
+
+  private ExitCode run(Command command) throws InterruptedException {
+    Printer printer = new Printer(out, err, command.common().output());
+    try (Session session = new Session(command.common(), printer, environment)) {
+      command.run(session);
+      return ExitCode.OK;
+    } catch (CliException e) {
+      err.println(PROGRAM + ": " + e.getMessage());
+      return e.exitCode();
+    }
+  }
+
+  private void printUsage(JCommander commander) {
+    StringBuilder text = new StringBuilder();
+    commander.getUsageFormatter().usage(text);
+    out.print(text);
+    out.print(EXIT_CODES);
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/cowslipstair/cli/FleetWait.java
@@ -0,0 +1,69 @@
+package org.cowslipstair.cli;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.cowslipstair.model.config.StoreId;
+import org.cowslipstair.port.PlatformStore;
+import org.cowslipstair.port.StoreException;
+
+/** Waits until every live gateway has a revision of the configuration in force. */
+final class FleetWait {
+  private static final long POLL_MS = 200;
+
+  private final PlatformStore store;
+  private final AdminClient admin;
+  private final Printer printer;
+
+  FleetWait(PlatformStore store, AdminClient admin, Printer printer) {
+    this.store = store;
+    this.admin = admin;
+    this.printer = printer;
+  }
+
+  /** Waits; names the gateways that lag whenever they change. */
+  void await(long revision, Duration longest) throws CliException, InterruptedException {
+    long deadlineNs = System.nanoTime() + longest.toNanos();
+    List<String> lagging = List.of("all gateways: not yet asked");
+    try {
+      StoreId storeId = store.list(Objects.KINDS).storeId();
+      while (true) {
+        List<GatewayState> live =
+            GatewayState.readAll(store, admin).stream()
+                .filter(gateway -> !gateway.instance().leaving())
+                .toList();
+        List<String> nowLagging =
+            live.stream()
+                .filter(gateway -> !hasInForce(gateway, storeId, revision))
+                .map(FleetWait::describe)
+                .toList();
+        if (nowLagging.isEmpty()) {
+          printer.progress("revision %d in force on %d gateways".formatted(revision, live.size()));
+          return;
+        }
+        if (!nowLagging.equals(lagging)) {
+          printer.progress("waiting for " + String.join(", ", nowLagging));
+        }
+        lagging = nowLagging;
+        if (System.nanoTime() - deadlineNs >= 0) {
+          throw new CliException.NotInForce(revision, lagging);
+        }
+        TimeUnit.MILLISECONDS.sleep(POLL_MS);
+      }
+    } catch (StoreException e) {
+      printer.progress("cannot tell which gateways there are: " + e.getMessage());
+      throw new CliException.NotInForce(revision, lagging);
+    }
+  }
+
+  private static boolean hasInForce(GatewayState gateway, StoreId storeId, long revision) {
+    return gateway.storeId().equals(storeId.value()) && gateway.revision() >= revision;
+  }
+
+  private static String describe(GatewayState gateway) {
+    if (!gateway.failure().isEmpty()) {
+      return "%s (%s)".formatted(gateway.name(), gateway.failure());
+    }
+    return "%s (revision %d)".formatted(gateway.name(), gateway.revision());
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/cowslipstair/cli/LabelEdit.java
@@ -0,0 +1,72 @@
+package org.cowslipstair.cli;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.cowslipstair.logic.object.LabelSyntax;
+import org.cowslipstair.model.config.Labels;
+
+/**
+ * A change of labels.
+ *
+ * @param values wanted value of each label; empty to remove it
+ */
+record LabelEdit(Map<String, Optional<String>> values) {
+  private static final String ACCEPTED = "key=value to set a label, key- to remove it";
+
+  LabelEdit {
+    values = Map.copyOf(values);
+  }
+
+  /** A change of the same label by somebody else. */
+  record Clash(String label, Optional<String> theirs, Optional<String> ours) {}
+
+  /** Parses arguments such as {@code tier=gold} and {@code canary-}. */
+  static LabelEdit parse(List<String> arguments) throws CliException {
+    Map<String, Optional<String>> values = new TreeMap<>();
+    for (String argument : arguments) {
+      int equals = argument.indexOf('=');
+      boolean removes = equals < 0 && argument.endsWith("-");
+      if (equals < 0 && !removes) {
+        throw new CliException.Usage(argument, ACCEPTED);
+      }
+      String key = argument.substring(0, removes ? argument.length() - 1 : equals);
+      Optional<String> value =
+          removes ? Optional.empty() : Optional.of(argument.substring(equals + 1));
+      if (!LabelSyntax.isKey(key) || !value.map(LabelSyntax::isValue).orElse(true)) {
+        throw new CliException.Usage(argument, LabelSyntax.ACCEPTED_VALUE);
+      }
+      if (values.put(key, value) != null) {
+        throw new CliException.Usage(argument, "each label once");
+      }
+    }
+    if (values.isEmpty()) {
+      throw new CliException.Usage("", ACCEPTED);
+    }
+    return new LabelEdit(values);
+  }
+
+  /** Returns labels with the change made. */
+  Labels applyTo(Labels labels) {
+    Labels result = labels;
+    for (Map.Entry<String, Optional<String>> entry : values.entrySet()) {
+      String key = entry.getKey();
+      Optional<String> value = entry.getValue();
+      result = value.isPresent() ? result.with(key, value.get()) : result.without(key);
+    }
+    return result;
+  }
+
+  /** Finds a label that somebody else gave another value than the one that we began from. */
+  Optional<Clash> clash(Labels base, Labels current) {
+    for (Map.Entry<String, Optional<String>> entry : new TreeMap<>(values).entrySet()) {
+      Optional<String> theirs = current.get(entry.getKey());
+      boolean changed = !theirs.equals(base.get(entry.getKey()));
+      if (changed && !theirs.equals(entry.getValue())) {
+        return Optional.of(new Clash(entry.getKey(), theirs, entry.getValue()));
+      }
+    }
+    return Optional.empty();
+  }
+}
--- a/standins/src/main/java/org/cowslipstair/standins/store/StoreServer.java
+++ b/standins/src/main/java/org/cowslipstair/standins/store/StoreServer.java
@@ -126,15 +126,26 @@
    * @param newIdentity whether the store tells so by a new storeId
    */
   public void restore(Backup backup, boolean newIdentity) {
-    state.restore(backup.copy(), newIdentity);
+    state.restore(backup.copy, newIdentity);
   }
 
   /** State of the store at one moment. */
-  public record Backup(StoreState.Batch copy) {
+  public static final class Backup {
+    private final StoreState.Batch copy;
+
+    private Backup(StoreState.Batch copy) {
+      this.copy = copy;
+    }
+
     /** Returns the revision that the backup holds. */
     public long revision() {
       return copy.revision();
     }
+
+    /** Returns the identity that the store had. */
+    public String storeId() {
+      return copy.storeId();
+    }
   }
 
   @Override
