--- a/adapters/src/main/java/org/cowslipstair/adapters/peer/LeaseMessageCodec.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/peer/LeaseMessageCodec.java
@@ -15,6 +15,7 @@
 import org.cowslipstair.model.peer.LeaseMessage.Refuse;
 import org.cowslipstair.model.peer.LeaseMessage.Release;
 import org.cowslipstair.model.peer.LeaseMessage.Reuse;
+import org.cowslipstair.model.peer.LeaseMessage.Withdraw;
 import org.cowslipstair.model.peer.LeaseMessage.ZoneFree;
 import org.cowslipstair.model.pool.BackendState;
 import org.cowslipstair.model.pool.CallReport;
@@ -32,7 +33,8 @@
   static final int HELD_REQUEST = FIRST_TYPE + 7;
   static final int HELD = FIRST_TYPE + 8;
   static final int HAND_OVER = FIRST_TYPE + 9;
-  static final int LAST_TYPE = HAND_OVER;
+  static final int WITHDRAW = FIRST_TYPE + 10;
+  static final int LAST_TYPE = WITHDRAW;
 
   static final int COLD = 0;
   static final int WARM = 1;
@@ -70,6 +72,10 @@
         begin(RECALL, recall, out);
         out.integer(recall.count());
       }
+      case Withdraw withdraw -> {
+        begin(WITHDRAW, withdraw, out);
+        out.name(withdraw.backend().value());
+      }
       case HeldRequest request -> begin(HELD_REQUEST, request, out);
       case Held held -> writeHeld(held, out);
       case HandOver handOver -> writeHandOver(handOver, out);
@@ -120,6 +126,7 @@
       out.integer(lease.requestNumber());
       out.name(lease.backend().value());
       out.integer(lease.remainingNs());
+      out.bool(lease.callEnded());
     }
   }
 
@@ -133,6 +140,7 @@
       out.integer(lease.requestNumber());
       out.name(lease.backend().value());
       out.integer(lease.remainingNs());
+      out.bool(lease.callEnded());
     }
     out.count(handOver.backends());
     for (HandedBackend backend : handOver.backends()) {
--- a/adapters/src/main/java/org/cowslipstair/adapters/peer/LeaseMessageReader.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/peer/LeaseMessageReader.java
@@ -22,6 +22,7 @@
 import org.cowslipstair.model.peer.LeaseMessage.Release;
 import org.cowslipstair.model.peer.LeaseMessage.Reuse;
 import org.cowslipstair.model.peer.LeaseMessage.WhenFull;
+import org.cowslipstair.model.peer.LeaseMessage.Withdraw;
 import org.cowslipstair.model.peer.LeaseMessage.ZoneFree;
 import org.cowslipstair.model.pool.BackendState;
 import org.cowslipstair.model.pool.CallEnd;
@@ -43,6 +44,7 @@
       case LeaseMessageCodec.REUSE -> new Reuse(pool, in.integer(), readReport(in));
       case LeaseMessageCodec.RELEASE -> new Release(pool, in.integer(), readReport(in));
       case LeaseMessageCodec.RECALL -> new Recall(pool, readInt(in));
+      case LeaseMessageCodec.WITHDRAW -> new Withdraw(pool, readBackend(in));
       case LeaseMessageCodec.HELD_REQUEST -> new HeldRequest(pool);
       case LeaseMessageCodec.HELD -> readHeld(pool, in);
       case LeaseMessageCodec.HAND_OVER -> readHandOver(pool, in);
@@ -94,7 +96,7 @@
     int count = in.count();
     List<HeldLease> leases = new ArrayList<>();
     for (int i = 0; i < count; i++) {
-      leases.add(new HeldLease(in.integer(), readBackend(in), in.integer()));
+      leases.add(new HeldLease(in.integer(), readBackend(in), in.integer(), in.bool()));
     }
     return new Held(pool, nextRequestNumber, leases);
   }
@@ -105,7 +107,8 @@
     int leaseCount = in.count();
     List<HandedLease> leases = new ArrayList<>();
     for (int i = 0; i < leaseCount; i++) {
-      leases.add(new HandedLease(in.gateway(), in.integer(), readBackend(in), in.integer()));
+      leases.add(
+          new HandedLease(in.gateway(), in.integer(), readBackend(in), in.integer(), in.bool()));
     }
     int backendCount = in.count();
     List<HandedBackend> backends = new ArrayList<>();
--- a/lib/src/main/java/org/cowslipstair/logic/broker/BrokerCore.java
+++ b/lib/src/main/java/org/cowslipstair/logic/broker/BrokerCore.java
@@ -25,6 +25,7 @@
 import org.cowslipstair.model.peer.LeaseMessage.Release;
 import org.cowslipstair.model.peer.LeaseMessage.Reuse;
 import org.cowslipstair.model.peer.LeaseMessage.WhenFull;
+import org.cowslipstair.model.peer.LeaseMessage.Withdraw;
 import org.cowslipstair.model.peer.LeaseMessage.ZoneFree;
 import org.cowslipstair.model.pool.CallReport;
 import org.cowslipstair.model.pool.PoolId;
@@ -52,6 +53,9 @@
   private long recalls;
   private long terms;
 
+  /** A holder to be told that a backend server takes fewer calls. */
+  private record Withdrawal(GatewayId holder, BackendName backend) {}
+
   /** Creates a broker that has no term. */
   public BrokerCore(
       PoolId pool,
@@ -87,7 +91,7 @@
     if (inTerm && takingNewCalls.isEmpty()) {
       refuseAllWaiting(RefuseReason.NO_BACKEND);
     }
-    serveQueue(nowNs);
+    settle(nowNs);
     return drain();
   }
 
@@ -151,7 +155,7 @@
   public List<BrokerAction> onMessage(GatewayId from, LeaseMessage message, long nowNs) {
     if (message instanceof HandOver handOver) {
       takeover.onHandOver(from, handOver, inTerm, nowNs);
-      serveQueue(nowNs);
+      settle(nowNs);
       return drain();
     }
     if (!inTerm) {
@@ -172,9 +176,9 @@
           queue.removeBelow(from, held.nextRequestNumber());
         }
       }
-      case Grant _, Refuse _, Recall _, HeldRequest _, HandOver _ -> {}
+      case Grant _, Refuse _, Recall _, HeldRequest _, Withdraw _, HandOver _ -> {}
     }
-    serveQueue(nowNs);
+    settle(nowNs);
     return drain();
   }
 
@@ -227,7 +231,8 @@
       return Optional.of(full);
     }
     long deadlineNs = nowNs + acquire.remainingNs();
-    boolean tooLong = leases.estimatedWaitNs(queue.ahead(deadlineNs)) > acquire.remainingNs();
+    long waitNs = leases.estimatedWaitNs(queue.ahead(deadlineNs));
+    boolean tooLong = waitNs + leases.averageServiceNs() > acquire.remainingNs();
     return tooLong ? Optional.of(RefuseReason.WAIT_TOO_LONG) : Optional.empty();
   }
 
@@ -243,7 +248,7 @@
   /** Takes the result of a probe. */
   public List<BrokerAction> onProbe(BackendName backend, Optional<ProbeReport> report, long nowNs) {
     backends.probed(backend, report, nowNs);
-    serveQueue(nowNs);
+    settle(nowNs);
     return drain();
   }
 
@@ -260,16 +265,31 @@
     for (BackendName backend : backends.tick(nowNs)) {
       actions.add(new BrokerAction.Probe(backend));
     }
-    serveQueue(nowNs);
+    settle(nowNs);
     recallIfStarved(nowNs);
     return drain();
   }
 
+  private void settle(long nowNs) {
+    serveQueue(nowNs);
+    if (!inTerm || !recovery.isComplete()) {
+      return;
+    }
+    Set<Withdrawal> told = new LinkedHashSet<>();
+    for (LeaseTable.Entry entry : leases.withdrawPastLimit()) {
+      Withdrawal withdrawal = new Withdrawal(entry.key().holder(), entry.backend());
+      if (told.add(withdrawal)) {
+        Withdraw message = new Withdraw(pool, entry.backend());
+        actions.add(new BrokerAction.Send(withdrawal.holder(), message));
+      }
+    }
+  }
+
   private void serveQueue(long nowNs) {
     if (!inTerm || queue.size() == 0) {
       return;
     }
-    for (WaitQueue.Waiter waiter : queue.removePassed(nowNs)) {
+    for (WaitQueue.Waiter waiter : queue.removePassed(nowNs + leases.averageServiceNs())) {
       leases.completed().add(waiter.key(), nowNs);
       refuse(waiter.key().holder(), waiter.key().requestNumber(), RefuseReason.WAIT_TOO_LONG);
     }
@@ -329,7 +349,14 @@
     }
     BrokerStatus.BrokerCounters counters =
         new BrokerStatus.BrokerCounters(
-            acquires, leases.grants(), refusals, queueWaits, recalls, leases.expiries(), terms);
+            acquires,
+            leases.grants(),
+            leases.reuses(),
+            refusals,
+            queueWaits,
+            recalls,
+            leases.expiries(),
+            terms);
     return new BrokerStatus(
         pool, !recovery.isComplete(), recovery.awaitedCount(), queue.size(), counters, rows);
   }
--- a/lib/src/main/java/org/cowslipstair/logic/broker/BrokerStatus.java
+++ b/lib/src/main/java/org/cowslipstair/logic/broker/BrokerStatus.java
@@ -36,6 +36,7 @@
   public record BrokerCounters(
       long acquires,
       long grants,
+      long reuses,
       long refusals,
       long queueWaits,
       long recalls,
--- a/lib/src/main/java/org/cowslipstair/logic/broker/LeaseTable.java
+++ b/lib/src/main/java/org/cowslipstair/logic/broker/LeaseTable.java
@@ -28,6 +28,7 @@
     private long number;
     private long expiresAtNs;
     private boolean callEnded;
+    private boolean withdrawn;
 
     private Entry(LeaseKey key, BackendName backend, long validNs, long number, long expiresAtNs) {
       this.key = key;
@@ -60,6 +61,16 @@
       return expiresAtNs;
     }
 
+    /** Returns whether the holder was told to start no further call. */
+    boolean isWithdrawn() {
+      return withdrawn;
+    }
+
+    /** Takes note that the holder was told to start no further call. */
+    void withdraw() {
+      withdrawn = true;
+    }
+
     /** Returns whether the end of the call was already reported to the backend's tracker. */
     boolean callEnded() {
       return callEnded;
--- a/lib/src/main/java/org/cowslipstair/logic/broker/LeaseTakeover.java
+++ b/lib/src/main/java/org/cowslipstair/logic/broker/LeaseTakeover.java
@@ -107,7 +107,9 @@
     for (HeldLease lease : held.leases()) {
       listed.add(lease.requestNumber());
       LeaseKey key = new LeaseKey(from, lease.requestNumber());
-      if (!leases.completed().contains(key)) {
+      if (lease.callEnded()) {
+        leases.adoptBusySlot(key, lease.backend(), lease.remainingNs(), nowNs);
+      } else if (!leases.completed().contains(key)) {
         long busyNs = lease.remainingNs() + settings.cancelGraceNs();
         leases.adopt(key, lease.backend(), busyNs, nowNs);
       }
@@ -134,13 +136,7 @@
 
   private void adopt(HandOver handOver, long ageNs, long nowNs) {
     for (HandedLease lease : handOver.leases()) {
-      LeaseKey key = new LeaseKey(lease.holder(), lease.requestNumber());
-      boolean gone =
-          leases.completed().contains(key) || lease.requestNumber() < floor(lease.holder());
-      long busyNs = lease.remainingNs() - ageNs;
-      if (!gone && busyNs > 0) {
-        leases.adopt(key, lease.backend(), busyNs, nowNs);
-      }
+      adopt(lease, lease.remainingNs() - ageNs, nowNs);
     }
     if (recovery.isComplete() || !handOver.complete()) {
       return;
@@ -149,13 +145,30 @@
     recovery.finish();
   }
 
+  private void adopt(HandedLease lease, long busyNs, long nowNs) {
+    if (busyNs <= 0) {
+      return;
+    }
+    LeaseKey key = new LeaseKey(lease.holder(), lease.requestNumber());
+    if (lease.callEnded()) {
+      leases.adoptBusySlot(key, lease.backend(), busyNs, nowNs);
+      return;
+    }
+    boolean gone = leases.completed().contains(key) || key.requestNumber() < floor(key.holder());
+    if (!gone) {
+      leases.adopt(key, lease.backend(), busyNs, nowNs);
+    }
+  }
+
   /** Returns the table for a successor. */
   HandOver handOver(long nowNs) {
     List<HandedLease> handed = new ArrayList<>();
     for (LeaseTable.Entry entry : leases.table().all()) {
       long remainingNs = Math.max(0, entry.expiresAtNs() - nowNs);
       LeaseKey key = entry.key();
-      handed.add(new HandedLease(key.holder(), key.requestNumber(), entry.backend(), remainingNs));
+      handed.add(
+          new HandedLease(
+              key.holder(), key.requestNumber(), entry.backend(), remainingNs, entry.callEnded()));
     }
     long sequence = nextHandOver;
     nextHandOver++;
--- a/lib/src/main/java/org/cowslipstair/logic/broker/SlotLeases.java
+++ b/lib/src/main/java/org/cowslipstair/logic/broker/SlotLeases.java
@@ -31,6 +31,7 @@
   private long longestCallNs;
   private long grants;
   private long expiries;
+  private long reuses;
 
   SlotLeases(
       PoolId pool,
@@ -68,6 +69,10 @@
     return grants;
   }
 
+  long reuses() {
+    return reuses;
+  }
+
   long expiries() {
     return expiries;
   }
@@ -77,6 +82,11 @@
     return longestCallNs + settings.reuseNs() + settings.cancelGraceNs();
   }
 
+  /** Returns the average service time, 0 while no call was answered. */
+  long averageServiceNs() {
+    return (long) serviceTime.averageNs();
+  }
+
   /** Estimates the wait of an acquire behind others, 0 while nothing is known. */
   long estimatedWaitNs(int ahead) {
     int capacity = picker.capacity();
@@ -130,6 +140,19 @@
     recovery.reported(backend, table.out(backend));
   }
 
+  /** Takes over a slot that is busy although its lease is over. */
+  void adoptBusySlot(LeaseKey key, BackendName backend, long busyNs, long nowNs) {
+    Optional<LeaseTable.Entry> known = table.get(key);
+    if (known.isEmpty()) {
+      table.endCall(table.add(key, backend, 0, nowNs + busyNs), nowNs + busyNs);
+    } else if (!known.get().callEnded()) {
+      CallReport cancelled = new CallReport(CallEnd.CANCELLED, 0);
+      backends.ended(backend, known.get().number(), cancelled, nowNs);
+      table.endCall(known.get(), nowNs + busyNs);
+    }
+    recovery.reported(backend, table.out(backend));
+  }
+
   /** Takes the report of a call whose lease goes on. */
   void reuse(LeaseKey key, CallReport report, long nowNs) {
     Optional<LeaseTable.Entry> found = table.get(key);
@@ -140,6 +163,7 @@
     serviceTime.record(report);
     backends.ended(entry.backend(), entry.number(), report, nowNs);
     backends.started(entry.backend(), table.renumber(entry), nowNs);
+    reuses++;
   }
 
   /** Ends a lease; the slot of a call that may still run stays busy for the grace. */
@@ -152,20 +176,13 @@
     LeaseTable.Entry entry = found.get();
     serviceTime.record(report);
     backends.ended(entry.backend(), entry.number(), report, nowNs);
-    if (mayStillRun(report.end())) {
+    if (report.end().mayStillRun()) {
       table.endCall(entry, nowNs + settings.cancelGraceNs());
       return;
     }
     table.remove(entry);
   }
 
-  private static boolean mayStillRun(CallEnd end) {
-    return switch (end) {
-      case FAILED, TIMED_OUT, CANCELLED -> true;
-      case ANSWERED, SHED, UNUSED -> false;
-    };
-  }
-
   /** Removes the leases of a gateway that it does not list and will not use. */
   void retain(GatewayId holder, Set<Long> listed, long floor, long nowNs) {
     for (LeaseTable.Entry entry : table.ofHolder(holder)) {
@@ -203,6 +220,19 @@
     }
   }
 
+  /** Marks leases of backend servers that have more out than their limit, and returns them. */
+  List<LeaseTable.Entry> withdrawPastLimit() {
+    List<LeaseTable.Entry> withdrawn = new ArrayList<>();
+    for (LeaseTable.Entry entry : table.all()) {
+      boolean past = table.out(entry.backend()) > backends.limit(entry.backend());
+      if (past && !entry.callEnded() && !entry.isWithdrawn()) {
+        entry.withdraw();
+        withdrawn.add(entry);
+      }
+    }
+    return withdrawn;
+  }
+
   /** Returns the backend servers that have leases out, members or not. */
   List<BackendName> busyBackends() {
     List<BackendName> busy = new ArrayList<>();
--- a/lib/src/main/java/org/cowslipstair/logic/broker/WaitQueue.java
+++ b/lib/src/main/java/org/cowslipstair/logic/broker/WaitQueue.java
@@ -52,7 +52,7 @@
     }
   }
 
-  /** Removes and returns the acquires whose deadline has passed. */
+  /** Removes and returns the acquires whose deadline comes before a time. */
   List<Waiter> removePassed(long nowNs) {
     List<Waiter> passed = new ArrayList<>();
     while (!byDeadline.isEmpty() && byDeadline.first().deadlineNs() <= nowNs) {
--- a/lib/src/main/java/org/cowslipstair/logic/lessee/IdleLeases.java
+++ b/lib/src/main/java/org/cowslipstair/logic/lessee/IdleLeases.java
@@ -32,6 +32,9 @@
         idle.leases.remove(lease);
         return Optional.of(lease);
       }
+      if (lease.isGone()) {
+        idle.leases.remove(lease);
+      }
     }
     return Optional.empty();
   }
@@ -39,7 +42,7 @@
   /** Keeps the lease of an answered call; returns false if it must be given back instead. */
   public boolean keep(Lease lease, CallReport report, long nowNs) {
     PoolIdle idle = pools.get(lease.pool());
-    if (idle == null || idle.lingerNs <= 0 || lease.isFallback()) {
+    if (idle == null || idle.lingerNs <= 0 || lease.granter().isEmpty()) {
       return false;
     }
     if (report.end() != CallEnd.ANSWERED) {
--- a/lib/src/main/java/org/cowslipstair/logic/lessee/Lease.java
+++ b/lib/src/main/java/org/cowslipstair/logic/lessee/Lease.java
@@ -1,7 +1,9 @@
 package org.cowslipstair.logic.lessee;
 
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 import org.cowslipstair.model.config.BackendName;
+import org.cowslipstair.model.fleet.GatewayId;
 import org.cowslipstair.model.pool.CallReport;
 import org.cowslipstair.model.pool.PoolId;
 
@@ -11,9 +13,10 @@
   private final long requestNumber;
   private final BackendName backend;
   private final long expiresAtNs;
-  private final boolean fallback;
+  private final Optional<GatewayId> granter;
   private final AtomicReference<Use> use = new AtomicReference<>(Use.IN_USE);
   private volatile boolean startable = true;
+  private volatile boolean reusable = true;
   private volatile long idleUntilNs;
   private volatile CallReport lastReport = CallReport.unused();
 
@@ -23,12 +26,17 @@
     GONE
   }
 
-  Lease(PoolId pool, long requestNumber, BackendName backend, long expiresAtNs, boolean fallback) {
+  Lease(
+      PoolId pool,
+      long requestNumber,
+      BackendName backend,
+      long expiresAtNs,
+      Optional<GatewayId> granter) {
     this.pool = pool;
     this.requestNumber = requestNumber;
     this.backend = backend;
     this.expiresAtNs = expiresAtNs;
-    this.fallback = fallback;
+    this.granter = granter;
   }
 
   /** Returns the pool. */
@@ -51,9 +59,9 @@
     return expiresAtNs;
   }
 
-  /** Returns whether the slot was taken without a broker. */
-  public boolean isFallback() {
-    return fallback;
+  /** Returns the broker that granted the lease; empty if the slot was taken without one. */
+  public Optional<GatewayId> granter() {
+    return granter;
   }
 
   /** Returns whether a call may be sent under the lease. */
@@ -71,9 +79,14 @@
     startable = false;
   }
 
+  /** Lets the lease end with its call. */
+  void forbidReuse() {
+    reusable = false;
+  }
+
   /** Keeps the lease for the next call; returns false if it must be given back instead. */
   boolean becomeIdle(CallReport report, long untilNs) {
-    if (!startable || use.get() != Use.IN_USE) {
+    if (!startable || !reusable || use.get() != Use.IN_USE) {
       return false;
     }
     lastReport = report;
@@ -95,6 +108,10 @@
     return use.get() == Use.IDLE && nowNs >= idleUntilNs;
   }
 
+  boolean isGone() {
+    return use.get() == Use.GONE;
+  }
+
   boolean isInUse() {
     return use.get() == Use.IN_USE;
   }
--- a/lib/src/main/java/org/cowslipstair/logic/lessee/LesseeCore.java
+++ b/lib/src/main/java/org/cowslipstair/logic/lessee/LesseeCore.java
@@ -30,6 +30,7 @@
 import org.cowslipstair.model.peer.LeaseMessage.Release;
 import org.cowslipstair.model.peer.LeaseMessage.Reuse;
 import org.cowslipstair.model.peer.LeaseMessage.WhenFull;
+import org.cowslipstair.model.peer.LeaseMessage.Withdraw;
 import org.cowslipstair.model.peer.LeaseMessage.ZoneFree;
 import org.cowslipstair.model.pool.CallReport;
 import org.cowslipstair.model.pool.PoolId;
@@ -249,10 +250,10 @@
   }
 
   /** Ends a lease that was not kept for the next call. */
-  public List<LesseeAction> released(Lease lease, CallReport report) {
+  public List<LesseeAction> released(Lease lease, CallReport report, long nowNs) {
     PoolLessee lessee = pools.get(lease.pool());
     if (lessee != null) {
-      lessee.released(lease, report);
+      lessee.released(lease, report, nowNs);
     }
     return drain();
   }
@@ -268,6 +269,11 @@
           lessee.onRecall(recall, nowNs);
         }
       }
+      case Withdraw withdraw -> {
+        if (lessee.isBroker(from)) {
+          lessee.onWithdraw(withdraw.backend(), nowNs);
+        }
+      }
       case HeldRequest _ -> {
         if (lessee.isBroker(from)) {
           lessee.announce(nowNs);
--- a/lib/src/main/java/org/cowslipstair/logic/lessee/LesseeSettings.java
+++ b/lib/src/main/java/org/cowslipstair/logic/lessee/LesseeSettings.java
@@ -8,6 +8,7 @@
  * @param longestLingerNs longest time that an idle lease waits for the next call
  * @param lingerIntervals mean intervals between own calls for which an idle lease waits
  * @param recallQuietNs time after a recall in which no lease is kept idle
+ * @param cancelGraceNs time for which a backend server may go on with a call that was cancelled
  * @param warmNewsNs time for which a backend server counts as warm after the last news of it
  */
 public record LesseeSettings(
@@ -16,10 +17,11 @@
     long longestLingerNs,
     double lingerIntervals,
     long recallQuietNs,
+    long cancelGraceNs,
     long warmNewsNs) {
   private static final LesseeSettings DEFAULTS =
       new LesseeSettings(
-          100_000_000L, 10_000_000L, 20_000_000L, 2.0, 200_000_000L, 10_000_000_000L);
+          100_000_000L, 10_000_000L, 20_000_000L, 2.0, 200_000_000L, 200_000_000L, 10_000_000_000L);
 
   /** Returns the defaults. */
   public static LesseeSettings defaults() {
--- a/lib/src/main/java/org/cowslipstair/logic/lessee/PoolLessee.java
+++ b/lib/src/main/java/org/cowslipstair/logic/lessee/PoolLessee.java
@@ -35,9 +35,13 @@
   private final FallbackSlots fallback;
   private final Map<Long, Pending> pending = new LinkedHashMap<>();
   private final Map<Long, Lease> leases = new LinkedHashMap<>();
+  private final Map<Long, EndedCall> endedCalls = new LinkedHashMap<>();
   private Optional<GatewayId> broker = Optional.empty();
   private long nextRequestNumber = 1;
 
+  /** A call that is over here, but may still run on its backend server. */
+  private record EndedCall(BackendName backend, long runsUntilNs) {}
+
   /** An acquire without answer. */
   private static final class Pending {
     private final long callId;
@@ -107,9 +111,15 @@
     dropIdle();
     List<HeldLease> held = new ArrayList<>();
     for (Lease lease : leases.values()) {
+      lease.forbidReuse();
       long remainingNs = Math.max(0, lease.expiresAtNs() - nowNs);
-      held.add(new HeldLease(lease.requestNumber(), lease.backend(), remainingNs));
+      held.add(new HeldLease(lease.requestNumber(), lease.backend(), remainingNs, false));
     }
+    endedCalls.forEach(
+        (number, call) -> {
+          long remainingNs = Math.max(0, call.runsUntilNs() - nowNs);
+          held.add(new HeldLease(number, call.backend(), remainingNs, true));
+        });
     long next = takeNumber();
     send(new Held(pool, next, held));
     List<Pending> again = List.copyOf(pending.values());
@@ -166,7 +176,7 @@
     if (picked.isEmpty()) {
       return Optional.empty();
     }
-    Lease lease = new Lease(pool, takeNumber(), picked.get(), deadlineNs, true);
+    Lease lease = new Lease(pool, takeNumber(), picked.get(), deadlineNs, Optional.empty());
     leases.put(lease.requestNumber(), lease);
     counters.startedFallback();
     return Optional.of(lease);
@@ -187,7 +197,7 @@
       return;
     }
     long expiresAtNs = request.sentAtNs + grant.validNs();
-    Lease lease = new Lease(pool, grant.requestNumber(), grant.backend(), expiresAtNs, false);
+    Lease lease = new Lease(pool, grant.requestNumber(), grant.backend(), expiresAtNs, broker);
     leases.put(lease.requestNumber(), lease);
     counters.granted();
     updateLinger(nowNs);
@@ -221,6 +231,20 @@
     }
   }
 
+  /** Starts no further call under the leases of a backend server whose limit fell. */
+  void onWithdraw(BackendName backend, long nowNs) {
+    fallback.news(backend, false, nowNs);
+    for (Lease lease : List.copyOf(leases.values())) {
+      if (!lease.backend().equals(backend)) {
+        continue;
+      }
+      lease.forbidStart();
+      if (lease.drop()) {
+        giveBack(lease, lease.lastReport());
+      }
+    }
+  }
+
   /** Counts a call of this gateway to the pool. */
   void called(long nowNs) {
     linger.called(nowNs);
@@ -235,8 +259,12 @@
   }
 
   /** Ends a lease that was not kept for the next call. */
-  void released(Lease lease, CallReport report) {
+  void released(Lease lease, CallReport report, long nowNs) {
     fallback.ended(lease.backend(), report.end());
+    if (report.end().mayStillRun()) {
+      long runsUntilNs = nowNs + settings.cancelGraceNs();
+      endedCalls.put(lease.requestNumber(), new EndedCall(lease.backend(), runsUntilNs));
+    }
     giveBack(lease, report);
   }
 
@@ -273,6 +301,7 @@
   /** Gives back leases that were idle for long enough, and repeats acquires without answer. */
   void tick(long nowNs) {
     updateLinger(nowNs);
+    endedCalls.values().removeIf(call -> call.runsUntilNs() <= nowNs);
     for (Lease lease : List.copyOf(leases.values())) {
       if (lease.isIdleSince(nowNs) && lease.drop()) {
         giveBack(lease, lease.lastReport());
--- a/lib/src/main/java/org/cowslipstair/model/peer/LeaseMessage.java
+++ b/lib/src/main/java/org/cowslipstair/model/peer/LeaseMessage.java
@@ -92,6 +92,12 @@
   /** Asks for idle leases back. */
   record Recall(PoolId pool, int count) implements LeaseMessage {}
 
+  /**
+   * Forbids further calls under the leases of a backend server, because its limit fell below the
+   * leases that are out. Calls that were sent go on.
+   */
+  record Withdraw(PoolId pool, BackendName backend) implements LeaseMessage {}
+
   /** Asks a gateway for {@link Held}; sent by a broker at the start of its term. */
   record HeldRequest(PoolId pool) implements LeaseMessage {}
 
@@ -109,8 +115,12 @@
     }
   }
 
-  /** One held lease. */
-  record HeldLease(long requestNumber, BackendName backend, long remainingNs) {}
+  /**
+   * One held lease.
+   *
+   * @param callEnded whether the lease is over, but the backend server may still work on its call
+   */
+  record HeldLease(long requestNumber, BackendName backend, long remainingNs, boolean callEnded) {}
 
   /**
    * Lease table that a broker hands to its successor.
@@ -136,8 +146,14 @@
    * One lease in a hand-over.
    *
    * @param remainingNs time until the slot is free at the latest
+   * @param callEnded whether the lease is over and only its slot is still busy
    */
-  record HandedLease(GatewayId holder, long requestNumber, BackendName backend, long remainingNs) {}
+  record HandedLease(
+      GatewayId holder,
+      long requestNumber,
+      BackendName backend,
+      long remainingNs,
+      boolean callEnded) {}
 
   /**
    * State of one backend server in a hand-over. Times in the state are those of the sender's clock
--- a/lib/src/main/java/org/cowslipstair/model/pool/CallEnd.java
+++ b/lib/src/main/java/org/cowslipstair/model/pool/CallEnd.java
@@ -13,5 +13,13 @@
   /** The gateway cancelled the call; the backend server may still be working on it. */
   CANCELLED,
   /** No byte of a call was sent. */
-  UNUSED
+  UNUSED;
+
+  /** Returns whether the backend server may still be working on the call. */
+  public boolean mayStillRun() {
+    return switch (this) {
+      case FAILED, TIMED_OUT, CANCELLED -> true;
+      case ANSWERED, SHED, UNUSED -> false;
+    };
+  }
 }
--- a/lib/src/main/java/org/cowslipstair/runtime/lease/BrokerAdmission.java
+++ b/lib/src/main/java/org/cowslipstair/runtime/lease/BrokerAdmission.java
@@ -49,7 +49,7 @@
 
   @Override
   public Permit admit(AdmissionRequest request) throws NotAdmittedException, InterruptedException {
-    Optional<Permit> kept = takeIdle(request);
+    Optional<LeasePermit> kept = takeIdle(request);
     if (kept.isPresent()) {
       return kept.get();
     }
@@ -59,7 +59,8 @@
     return permit(await(callId, request, answer));
   }
 
-  private Optional<Permit> takeIdle(AdmissionRequest request) {
+  /** Takes an idle lease of the home zone's pool. */
+  Optional<LeasePermit> takeIdle(AdmissionRequest request) {
     PoolId home = new PoolId(request.service(), homeZone);
     long nowNs = clock.nowNs();
     Optional<Lease> taken =
@@ -97,7 +98,8 @@
     }
   }
 
-  private Permit permit(Lease lease) throws NotAdmittedException {
+  /** Returns the permit for a granted lease. */
+  LeasePermit permit(Lease lease) throws NotAdmittedException {
     Optional<BackendServer> backend = snapshot.get().backend(lease.backend());
     if (backend.isEmpty()) {
       runtime.release(lease, CallReport.unused());
--- a/lib/src/main/java/org/cowslipstair/runtime/lease/LeasePermit.java
+++ b/lib/src/main/java/org/cowslipstair/runtime/lease/LeasePermit.java
@@ -38,6 +38,11 @@
     this.monitor = monitor;
   }
 
+  /** Returns the lease. */
+  Lease lease() {
+    return lease;
+  }
+
   @Override
   public BackendServer backend() {
     return backend;
--- a/lib/src/main/java/org/cowslipstair/runtime/lease/LeaseRuntime.java
+++ b/lib/src/main/java/org/cowslipstair/runtime/lease/LeaseRuntime.java
@@ -43,6 +43,7 @@
 import org.cowslipstair.model.peer.LeaseMessage.Refuse;
 import org.cowslipstair.model.peer.LeaseMessage.Release;
 import org.cowslipstair.model.peer.LeaseMessage.Reuse;
+import org.cowslipstair.model.peer.LeaseMessage.Withdraw;
 import org.cowslipstair.model.peer.MembershipMessage.PoolFree;
 import org.cowslipstair.model.pool.CallReport;
 import org.cowslipstair.port.BackendProbe.ProbeReport;
@@ -221,7 +222,7 @@
             return;
           }
           if (!answer.isCompletedExceptionally()) {
-            apply(lessee.released(answer.join(), CallReport.unused()));
+            apply(lessee.released(answer.join(), CallReport.unused(), clock.nowNs()));
           }
         });
   }
@@ -234,7 +235,7 @@
 
   /** Gives a lease back. Any thread. */
   void release(Lease lease, CallReport report) {
-    controlLoop.execute(() -> apply(lessee.released(lease, report)));
+    controlLoop.execute(() -> apply(lessee.released(lease, report, clock.nowNs())));
   }
 
   private void apply(List<LesseeAction> actions) {
@@ -256,7 +257,7 @@
   private void admitted(long callId, Lease lease) {
     CompletableFuture<Lease> answer = waiting.remove(callId);
     if (answer == null) {
-      apply(lessee.released(lease, CallReport.unused()));
+      apply(lessee.released(lease, CallReport.unused(), clock.nowNs()));
       return;
     }
     answer.complete(lease);
@@ -300,7 +301,7 @@
     switch (message) {
       case Acquire _, CancelAcquire _, Release _, Reuse _, Held _, HandOver _ ->
           applyBroker(brokers.onMessage(from, message, snapshot.get(), nowNs));
-      case Grant _, Refuse _, Recall _, HeldRequest _ ->
+      case Grant _, Refuse _, Recall _, Withdraw _, HeldRequest _ ->
           apply(lessee.onMessage(from, message, nowNs));
     }
   }
--- /dev/null
+++ b/lib/src/test/java/org/cowslipstair/runtime/lease/EventQueue.java
@@ -0,0 +1,51 @@
+package org.cowslipstair.runtime.lease;
+
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.List;
+import java.util.PriorityQueue;
+
+/** Virtual time: runs events in the order of their times. */
+final class EventQueue {
+  static final long NS_PER_MS = 1_000_000L;
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(Comparator.comparingLong(Event::atNs).thenComparingLong(Event::sequence));
+  private static final int TRACE_LINES = 400;
+  private final Deque<String> trace = new ArrayDeque<>();
+  private long nowNs;
+  private long nextSequence;
+
+  private record Event(long atNs, long sequence, Runnable task) {}
+
+  long nowNs() {
+    return nowNs;
+  }
+
+  /** Remembers what happened, for the report of a failure. */
+  void trace(String who, Object what) {
+    if (trace.size() >= TRACE_LINES) {
+      trace.removeFirst();
+    }
+    trace.add("%.3f ms %s %s".formatted((double) nowNs / NS_PER_MS, who, what));
+  }
+
+  List<String> lastTrace() {
+    return List.copyOf(trace);
+  }
+
+  void in(long delayNs, Runnable task) {
+    events.add(new Event(nowNs + delayNs, nextSequence, task));
+    nextSequence++;
+  }
+
+  /** Runs all events up to a time. */
+  void runUntil(long untilNs) {
+    while (!events.isEmpty() && events.peek().atNs() <= untilNs) {
+      Event event = events.remove();
+      nowNs = event.atNs();
+      event.task().run();
+    }
+    nowNs = untilNs;
+  }
+}
