Prove that calls run at most once against failing backends

Cause: CallService and AttemptGuard landed without tests. The check of the retry budget compared two threads' clocks readings; it now takes the later.

--- a/lib/src/main/java/org/cowslipstair/logic/attempt/AttemptGuard.java
+++ b/lib/src/main/java/org/cowslipstair/logic/attempt/AttemptGuard.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executor;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -32,7 +32,7 @@
   private final AttemptSettings settings;
   private final MonotonicClock clock;
   private final InstantSource wallClock;
-  private final ExecutorService storeThreads;
+  private final Executor storeThreads;
   private final Supplier<String> changeIds;
   private final RateCap rateCap;
   private final BlockingQueue<Leftover> leftovers;
@@ -49,7 +49,7 @@
       AttemptSettings settings,
       MonotonicClock clock,
       InstantSource wallClock,
-      ExecutorService storeThreads,
+      Executor storeThreads,
       Supplier<String> changeIds) {
     this.store = store;
     this.settings = settings;
--- a/lib/src/main/java/org/cowslipstair/logic/call/ShareBudget.java
+++ b/lib/src/main/java/org/cowslipstair/logic/call/ShareBudget.java
@@ -11,6 +11,7 @@
 final class ShareBudget {
   private static final long MICRO_TOKENS = 1_000_000;
   private static final long NS_PER_MICROSECOND = 1_000;
+  private static final double NS_PER_SECOND = 1e9;
   private static final double ROUNDING = 1e-6;
   private final Invariant invariant;
   private final String subject;
@@ -93,7 +94,8 @@
   }
 
   private void check(long takenNow, long nowNs) {
-    double seconds = (nowNs - createdAtNs) / 1e9;
+    long latestNs = Math.max(nowNs, filledAtNs.get());
+    double seconds = (latestNs - createdAtNs) / NS_PER_SECOND;
     double fromCalls = (double) calls.get() * perCallMicro / MICRO_TOKENS;
     long allowed = (long) Math.floor(fromCalls + seconds * perSecond + ROUNDING);
     monitor.checkAtMost(invariant, subject, takenNow, allowed);
--- /dev/null
+++ b/lib/src/test/java/org/cowslipstair/logic/call/CallServiceTest.java
@@ -0,0 +1,323 @@
+package org.cowslipstair.logic.call;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.startsWith;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
+import org.cowslipstair.logic.call.CallResult.MayHaveRun;
+import org.cowslipstair.logic.call.CallResult.NotRun;
+import org.cowslipstair.model.call.MayHaveRunReason;
+import org.cowslipstair.model.call.NotRunReason;
+import org.cowslipstair.model.config.BackendName;
+import org.cowslipstair.model.config.BackendServer;
+import org.cowslipstair.model.config.ConfigSnapshot;
+import org.cowslipstair.model.config.Labels;
+import org.cowslipstair.model.pool.CallEnd;
+import org.cowslipstair.port.BackendException;
+import org.cowslipstair.port.BackendTransport;
+import org.cowslipstair.port.BackendTransport.BackendAnswer;
+import org.cowslipstair.port.BackendTransport.BackendCall;
+import org.cowslipstair.port.BackendTransport.CallBody;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+final class CallServiceTest {
+  private static final int WARM_UP_CALLS = 120;
+  private final AtomicInteger slowCalls = new AtomicInteger();
+  private final AtomicInteger sends = new AtomicInteger();
+  private volatile BackendTransport behaviour = (_, _) -> FakeAnswer.whole("ok");
+  private final CallFixture fixture = new CallFixture(this::send, 11);
+
+  private BackendAnswer send(BackendServer backend, BackendCall call)
+      throws BackendException, InterruptedException {
+    sends.incrementAndGet();
+    fixture.nowNs.addAndGet(5 * CallFixture.NS_PER_MS);
+    return behaviour.send(backend, call);
+  }
+
+  @AfterEach
+  void everySlotIsGivenBack() {
+    fixture.close();
+    assertThat(fixture.admission.held.get(), is(0));
+  }
+
+  @Test
+  void idempotentCallIsSentAgainAfterALostConnection() throws Exception {
+    warmUp();
+    behaviour = failingFirst(b -> new BackendException.ConnectionLost(b, new IOException()));
+    assertThat(CallFixture.text(fixture.call("a", "GET")), is("ok"));
+    assertThat(sends.get(), is(WARM_UP_CALLS + 2));
+    assertThat(ends(), hasItem(CallEnd.FAILED));
+  }
+
+  @Test
+  void nonIdempotentCallIsNotSentAgainAfterALostConnection() throws Exception {
+    warmUp();
+    behaviour = failingFirst(b -> new BackendException.ConnectionLost(b, new IOException()));
+    CallResult result = fixture.call("a", "POST");
+    assertThat(result, is(new MayHaveRun(MayHaveRunReason.CONNECTION_LOST)));
+    assertThat(sends.get(), is(WARM_UP_CALLS + 1));
+  }
+
+  @Test
+  void nonIdempotentCallIsSentAgainWhenItWasNotSentOrShed() throws Exception {
+    warmUp();
+    behaviour = failingFirst(b -> new BackendException.NotSent(b, new IOException()));
+    assertThat(CallFixture.text(fixture.call("a", "POST")), is("ok"));
+    AtomicInteger count = new AtomicInteger();
+    behaviour = (_, _) -> count.getAndIncrement() == 0 ? FakeAnswer.shed() : FakeAnswer.whole("b");
+    assertThat(CallFixture.text(fixture.call("b", "POST")), is("b"));
+  }
+
+  @Test
+  void callThatEveryBackendShedsDidNotRun() throws Exception {
+    warmUp();
+    behaviour = (_, _) -> FakeAnswer.shed();
+    NotRun result = (NotRun) fixture.call("a", "POST");
+    assertThat(result.reason(), is(NotRunReason.BACKEND_SHED));
+    assertThat(result.retryAfterMs() >= 500 && result.retryAfterMs() <= 1_500, is(true));
+    assertThat(sends.get(), is(WARM_UP_CALLS + 3));
+  }
+
+  @Test
+  void streamThatWasReadIsNotSentAgain() throws Exception {
+    warmUp();
+    behaviour =
+        (_, call) -> {
+          readOneByte(call);
+          return FakeAnswer.shed();
+        };
+    CallBody body = new CallBody.Streamed(new ByteArrayInputStream(new byte[9]), 9);
+    CallResult result = fixture.service.handle(fixture.request("a", "POST", "/", body));
+    assertThat(((NotRun) result).reason(), is(NotRunReason.BACKEND_SHED));
+    assertThat(sends.get(), is(WARM_UP_CALLS + 1));
+  }
+
+  @Test
+  void retriesStayWithinTheirShareOfCalls() throws Exception {
+    behaviour = (_, _) -> FakeAnswer.shed();
+    int calls = 400;
+    for (int i = 0; i < calls; i++) {
+      fixture.call("call-" + i, "GET");
+    }
+    long seconds = fixture.nowNs.get() / 1_000_000_000L;
+    assertThat(sends.get(), lessThanOrEqualTo((int) (calls + calls / 10 + seconds + 1)));
+    assertThat("no retry at all", sends.get() > calls, is(true));
+  }
+
+  @Test
+  void slowCallIsHedgedIntoAFreeSlotElsewhereAndTheLoserCancelled() throws Exception {
+    warmUp();
+    CountDownLatch cancelled = new CountDownLatch(1);
+    List<BackendName> asked = new ArrayList<>();
+    behaviour =
+        (backend, _) -> {
+          synchronized (asked) {
+            asked.add(backend.name());
+          }
+          return asked.size() == 1 ? hang(cancelled) : FakeAnswer.whole("hedge");
+        };
+    assertThat(CallFixture.text(fixture.call("a", "GET")), is("hedge"));
+    assertThat(cancelled.await(10, TimeUnit.SECONDS), is(true));
+    var hedge = fixture.admission.requests.getLast();
+    assertThat(hedge.freeSlotOnly(), is(true));
+    assertThat(hedge.excluded(), hasItem(asked.getFirst()));
+    fixture.close();
+    assertThat(ends(), hasItem(CallEnd.CANCELLED));
+  }
+
+  @Test
+  void hedgesStayWithinTheirShareOfCalls() throws Exception {
+    warmUp();
+    slowCalls.set(fixture.hedgeTimer.scheduled.get());
+    AtomicInteger hedges = new AtomicInteger();
+    fixture.admission.refuses =
+        request -> {
+          if (request.freeSlotOnly()) {
+            hedges.incrementAndGet();
+          }
+          return false;
+        };
+    behaviour = (_, _) -> answerOnceHedgeIsDue();
+    for (int i = 0; i < 200; i++) {
+      CallFixture.text(fixture.call("slow-" + i, "GET"));
+      slowCalls.set(fixture.hedgeTimer.scheduled.get());
+    }
+    assertThat(hedges.get(), lessThanOrEqualTo((200 + WARM_UP_CALLS) / 20));
+    assertThat("no hedge at all", hedges.get() > 0, is(true));
+  }
+
+  @Test
+  void nonIdempotentCallIsNeverHedged() throws Exception {
+    warmUp();
+    behaviour =
+        (_, _) -> {
+          fixture.timer.advanceTimeBy(10, TimeUnit.MILLISECONDS);
+          return FakeAnswer.whole("slow");
+        };
+    assertThat(CallFixture.text(fixture.call("a", "POST")), is("slow"));
+    assertThat(sends.get(), is(WARM_UP_CALLS + 1));
+  }
+
+  @Test
+  void shortAnswerThatBreaksOffIsAskedForAgain() throws Exception {
+    warmUp();
+    AtomicInteger count = new AtomicInteger();
+    behaviour =
+        (_, _) ->
+            count.getAndIncrement() == 0
+                ? FakeAnswer.brokenOff("hal", 5)
+                : FakeAnswer.whole("whole");
+    assertThat(CallFixture.text(fixture.call("a", "GET")), is("whole"));
+  }
+
+  @Test
+  void bodyThatEndsEarlyFailsItsReader() throws Exception {
+    behaviour = (_, _) -> FakeAnswer.announced("hal", 5);
+    CallResult result = fixture.call("a", "POST");
+    IOException e = assertThrows(IOException.class, () -> CallFixture.text(result));
+    assertThat(e.getMessage(), startsWith("answer of backend server \"ledger-0\" ended after 3"));
+    assertThat(ends(), is(List.of(CallEnd.FAILED)));
+  }
+
+  @Test
+  void closingAnAnswerEarlyCancelsTheCall() throws Exception {
+    FakeAnswer answer = FakeAnswer.whole("long");
+    behaviour = (_, _) -> answer;
+    ((CallResult.Answered) fixture.call("a", "POST")).answer().close();
+    assertThat(answer.isClosed(), is(true));
+    assertThat(ends(), is(List.of(CallEnd.CANCELLED)));
+  }
+
+  @Test
+  void callerThatGoesAwayCancelsTheCall() throws Exception {
+    for (String method : List.of("GET", "POST")) {
+      CountDownLatch sent = new CountDownLatch(1);
+      CountDownLatch cancelled = new CountDownLatch(1);
+      behaviour =
+          (_, _) -> {
+            sent.countDown();
+            return hang(cancelled);
+          };
+      Thread caller = Thread.ofVirtual().start(() -> callIgnoringInterrupt(method));
+      sent.await();
+      caller.interrupt();
+      caller.join();
+      assertThat(cancelled.await(10, TimeUnit.SECONDS), is(true));
+    }
+    fixture.close();
+    assertThat(ends(), is(List.of(CallEnd.CANCELLED, CallEnd.CANCELLED)));
+  }
+
+  @Test
+  void backendOfAZoneThatWentOutMeanwhileIsNotUsed() throws Exception {
+    fixture.configuration = fixture.configuration(Labels.empty().with("state", "out"));
+    NotRun result = (NotRun) fixture.call("a", "GET");
+    assertThat(result.reason(), is(NotRunReason.NO_BACKEND));
+    assertThat(sends.get(), is(0));
+  }
+
+  @Test
+  void refusedWhileStoppingAndWithoutRouteOrTime() throws Exception {
+    fixture.refusal = Optional.of(NotRunReason.GATEWAY_STOPPING);
+    assertThat(((NotRun) fixture.call("a", "GET")).reason(), is(NotRunReason.GATEWAY_STOPPING));
+    fixture.refusal = Optional.empty();
+    fixture.configuration = ConfigSnapshot.empty();
+    assertThat(((NotRun) fixture.call("a", "GET")).reason(), is(NotRunReason.NO_CONFIGURATION));
+    assertThat(fixture.summaries.size(), is(2));
+  }
+
+  @Test
+  void keyIsUsedOnceAndGivenBackWhenTheCallDidNotRun() throws Exception {
+    fixture.admission.refuses = _ -> true;
+    assertThat(((NotRun) pay()).reason(), is(NotRunReason.NO_FREE_SLOT));
+    awaitEmptyStore();
+    fixture.admission.refuses = _ -> false;
+    assertThat(CallFixture.text(pay()), is("ok"));
+    assertThat(((NotRun) pay()).reason(), is(NotRunReason.DUPLICATE_KEY));
+    assertThat(sends.get(), is(1));
+  }
+
+  private CallResult pay() throws InterruptedException {
+    return fixture.service.handle(fixture.request("p", "POST", "/pay/candle", new CallBody.None()));
+  }
+
+  private void awaitEmptyStore() throws InterruptedException {
+    long deadlineNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+    while (fixture.store.size() > 0 && System.nanoTime() < deadlineNs) {
+      Thread.sleep(1);
+    }
+    assertThat(fixture.store.size(), is(0));
+  }
+
+  private void warmUp() throws Exception {
+    BackendTransport before = behaviour;
+    behaviour = (_, _) -> FakeAnswer.whole("warm");
+    for (int i = 0; i < WARM_UP_CALLS; i++) {
+      CallFixture.text(fixture.call("warm-" + i, "GET"));
+    }
+    behaviour = before;
+  }
+
+  private void callIgnoringInterrupt(String method) {
+    try {
+      fixture.call("gone", method);
+      throw new AssertionError("call of a caller that went away returned");
+    } catch (InterruptedException expected) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private BackendAnswer hang(CountDownLatch cancelled) throws InterruptedException {
+    try {
+      while (true) {
+        fixture.timer.advanceTimeBy(10, TimeUnit.MILLISECONDS);
+        Thread.sleep(1);
+      }
+    } finally {
+      cancelled.countDown();
+    }
+  }
+
+  private BackendAnswer answerOnceHedgeIsDue() throws InterruptedException {
+    while (fixture.hedgeTimer.scheduled.get() <= slowCalls.get()) {
+      Thread.sleep(1);
+    }
+    fixture.timer.advanceTimeBy(10, TimeUnit.MILLISECONDS);
+    return FakeAnswer.whole("slow");
+  }
+
+  private List<CallEnd> ends() {
+    return fixture.admission.released.stream().map(released -> released.report().end()).toList();
+  }
+
+  private static BackendTransport failingFirst(Function<BackendName, BackendException> failure) {
+    AtomicInteger count = new AtomicInteger();
+    return (backend, _) -> {
+      if (count.getAndIncrement() == 0) {
+        throw failure.apply(backend.name());
+      }
+      return FakeAnswer.whole("ok");
+    };
+  }
+
+  private static void readOneByte(BackendCall call) {
+    try {
+      ((CallBody.Streamed) call.body()).stream().read();
+    } catch (IOException e) {
+      throw new AssertionError(e);
+    }
+  }
+}
