Run a whole fleet under load in the demo

Cause: the first whole path must be seen to work, with every promise checked. Change: a trial fleet over real sockets from the example files, a load by the sizes of the deployment, events at fixed times, a table and a verdict.

--- /dev/null
+++ b/experiments/src/main/java/org/cowslipstair/experiments/demo/Demo.java
@@ -0,0 +1,178 @@
+package org.cowslipstair.experiments.demo;
+
+import java.util.Comparator;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+import org.cowslipstair.experiments.fleet.Loads;
+import org.cowslipstair.experiments.fleet.TrialFleet;
+import org.cowslipstair.experiments.load.HttpCallSender;
+import org.cowslipstair.experiments.load.LoadPlan;
+import org.cowslipstair.experiments.load.OpenLoopLoad;
+import org.cowslipstair.experiments.load.ServiceResult;
+import org.cowslipstair.logic.object.ObjectJson;
+import org.cowslipstair.model.config.BackendServer;
+import org.cowslipstair.model.config.Labels;
+import org.cowslipstair.model.config.ObjectKey;
+import org.cowslipstair.model.config.ObjectKind;
+import org.cowslipstair.model.config.StoredObject;
+import org.cowslipstair.model.config.Zone;
+import org.cowslipstair.model.config.ZoneName;
+import org.cowslipstair.model.fleet.GatewayName;
+import org.cowslipstair.port.StoreException;
+
+/** One run of the demo: load, events at fixed times, a table, and a verdict. */
+final class Demo {
+  static final long SERVICE_TIME_US = 20_000;
+
+  private static final long WARM_UP_MS = 6_000;
+  private static final long ZONE_OUT_MS = 10_000;
+  private static final long ZONE_IN_MS = 22_000;
+  private static final long COLD_START_MS = 30_000;
+  private static final long PLANNED_STOP_MS = 36_000;
+  private static final long END_MS = 46_000;
+  private static final long ZONE_GRACE_MS = 4_000;
+  private static final long CALL_TIMEOUT_MS = 5_000;
+  private static final long READINESS_POLL_MS = 100;
+  private static final double NON_IDEMPOTENT_SHARE = 0.1;
+  private static final int ANSWER_BYTES = 2_000;
+
+  private final TrialFleet fleet;
+  private final HttpCallSender sender;
+  private final OpenLoopLoad load;
+  private final ZoneName zone;
+  private final long startNs = System.nanoTime();
+
+  Demo(TrialFleet fleet, double utilization, long seed) {
+    this.fleet = fleet;
+    this.sender = new HttpCallSender(fleet.readyAddresses(), "demo", CALL_TIMEOUT_MS);
+    LoadPlan plan =
+        new LoadPlan(
+            Loads.of(
+                fleet.deployment(),
+                utilization,
+                SERVICE_TIME_US,
+                NON_IDEMPOTENT_SHARE,
+                ANSWER_BYTES),
+            WARM_UP_MS,
+            END_MS,
+            CALL_TIMEOUT_MS,
+            seed);
+    this.load = new OpenLoopLoad(plan, sender);
+    this.zone = fleet.deployment().zones().getLast();
+  }
+
+  boolean run() throws StoreException, InterruptedException {
+    Thread balancer = Thread.ofVirtual().start(this::followReadiness);
+    Thread progress = Thread.ofVirtual().start(this::showProgress);
+    Thread script = Thread.ofVirtual().start(this::runEvents);
+    load.run();
+    script.join();
+    progress.interrupt();
+    balancer.interrupt();
+    sender.close();
+    DemoReport report = new DemoReport(fleet, load.results(), zone);
+    System.out.println();
+    System.out.print(report.table());
+    Optional<String> broken = report.brokenPromise();
+    System.out.println(broken.map(promise -> "demo: FAILED " + promise).orElse("demo: OK"));
+    return broken.isEmpty();
+  }
+
+  private void runEvents() {
+    try {
+      waitUntil(ZONE_OUT_MS);
+      fleet.backends().forEach((name, standin) -> markIfInZone(name.value(), standin::mark));
+      setZoneState(Labels.STATE_OUT);
+      say("zone \"%s\" is taken out".formatted(zone));
+      waitUntil(ZONE_IN_MS);
+      fleet.backends().values().forEach(standin -> standin.clearMark());
+      setZoneState("");
+      say("zone \"%s\" is brought back".formatted(zone));
+      waitUntil(COLD_START_MS);
+      BackendServer cold = fleet.deployment().backends().getFirst();
+      fleet.backends().get(cold.name()).goCold();
+      say("backend server \"%s\" falls into a cold start".formatted(cold.name()));
+      waitUntil(PLANNED_STOP_MS);
+      GatewayName stopping =
+          fleet.gateways().keySet().stream().min(Comparator.naturalOrder()).orElseThrow();
+      say("gateway \"%s\" is stopped".formatted(stopping));
+      fleet.stopGateway(stopping);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (StoreException e) {
+      say("event failed: " + e.getMessage());
+    }
+  }
+
+  /** Action on a stand-in that takes a grace. */
+  private interface Mark {
+    void after(long graceMs);
+  }
+
+  private void markIfInZone(String backendName, Mark mark) {
+    for (BackendServer backend : fleet.deployment().backends()) {
+      if (backend.name().value().equals(backendName) && backend.zone().equals(zone)) {
+        mark.after(ZONE_GRACE_MS);
+      }
+    }
+  }
+
+  private void setZoneState(String state) throws StoreException {
+    ObjectKey key = new ObjectKey(ObjectKind.ZONE, zone.value());
+    StoredObject stored = fleet.client().get(key).orElseThrow();
+    Labels labels =
+        fleet.deployment().objects().stream()
+            .filter(object -> object.key().equals(key))
+            .findFirst()
+            .orElseThrow()
+            .labels();
+    Labels changed = state.isEmpty() ? labels : labels.with(Labels.STATE, state);
+    fleet
+        .client()
+        .put(
+            key,
+            ObjectJson.write(new Zone(zone, changed)),
+            stored.version(),
+            UUID.randomUUID().toString());
+  }
+
+  private void waitUntil(long atMs) throws InterruptedException {
+    long leftNs = startNs + TimeUnit.MILLISECONDS.toNanos(atMs) - System.nanoTime();
+    TimeUnit.NANOSECONDS.sleep(Math.max(0, leftNs));
+  }
+
+  private void followReadiness() {
+    try {
+      while (true) {
+        TimeUnit.MILLISECONDS.sleep(READINESS_POLL_MS);
+        var ready = fleet.readyAddresses();
+        if (!ready.isEmpty()) {
+          sender.setGateways(ready);
+        }
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void showProgress() {
+    try {
+      while (true) {
+        TimeUnit.SECONDS.sleep(2);
+        Map<String, ServiceResult> results = load.results();
+        long calls = results.values().stream().mapToLong(ServiceResult::calls).sum();
+        long answered = results.values().stream().mapToLong(ServiceResult::answered).sum();
+        say("%d calls, %d answered".formatted(calls, answered));
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void say(String text) {
+    long elapsedS = TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - startNs);
+    System.out.printf("%3d s  %s%n", elapsedS, text);
+  }
+}
