--- a/lib/src/main/java/org/cowslipstair/logic/lessee/PoolLessee.java
+++ b/lib/src/main/java/org/cowslipstair/logic/lessee/PoolLessee.java
@@ -300,6 +300,9 @@
 
   /** Gives back leases that were idle for long enough, and repeats acquires without answer. */
   void tick(long nowNs) {
+    if (leases.isEmpty() && pending.isEmpty() && endedCalls.isEmpty()) {
+      return;
+    }
     updateLinger(nowNs);
     endedCalls.values().removeIf(call -> call.runsUntilNs() <= nowNs);
     for (Lease lease : List.copyOf(leases.values())) {
--- a/lib/src/main/java/org/cowslipstair/runtime/lease/LeaseRuntime.java
+++ b/lib/src/main/java/org/cowslipstair/runtime/lease/LeaseRuntime.java
@@ -54,6 +54,7 @@
  * except those that say otherwise. Messages to the own gateway stay in the process.
  */
 public final class LeaseRuntime {
+  private static final long OWN_FREE_INTERVAL_NS = 50_000_000L;
   private final GatewayId self;
   private final MonotonicClock clock;
   private final Executor controlLoop;
@@ -66,6 +67,7 @@
   private final Map<Long, CompletableFuture<Lease>> waiting = new HashMap<>();
   private final Queue<LeaseMessage> toSelf = new ArrayDeque<>();
   private FleetView view;
+  private long nextOwnFreeNs;
   private boolean stopping;
   private boolean dispatching;
   private volatile long lastTurnNs;
@@ -98,6 +100,7 @@
     brokers = new BrokerSet(self, random, monitor);
     lessee = new LesseeCore(zone, LesseeSettings.defaults(), idle, view);
     lastTurnNs = clock.nowNs();
+    nextOwnFreeNs = lastTurnNs;
   }
 
   /** Takes a message of a peer. */
@@ -151,8 +154,9 @@
   /** Does what is due. Called every few milliseconds. */
   public void tick(long nowNs) {
     lastTurnNs = nowNs;
-    for (PoolFree own : brokers.freeSlots()) {
-      brokers.onFree(own.pool(), own.free());
+    if (nowNs >= nextOwnFreeNs) {
+      nextOwnFreeNs = nowNs + OWN_FREE_INTERVAL_NS;
+      brokers.freeSlots().forEach(own -> brokers.onFree(own.pool(), own.free()));
     }
     applyBroker(brokers.tick(nowNs));
     apply(lessee.tick(nowNs));
--- /dev/null
+++ b/lib/src/test/java/org/cowslipstair/logic/broker/BrokerCoreTest.java
@@ -0,0 +1,271 @@
+package org.cowslipstair.logic.broker;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.cowslipstair.logic.backend.BackendTrackerSettings;
+import org.cowslipstair.logic.backend.PoolBackends;
+import org.cowslipstair.logic.invariant.InvariantMonitor;
+import org.cowslipstair.logic.membership.FleetView;
+import org.cowslipstair.model.config.BackendName;
+import org.cowslipstair.model.config.BackendServer;
+import org.cowslipstair.model.config.HostPort;
+import org.cowslipstair.model.config.Labels;
+import org.cowslipstair.model.config.ServiceName;
+import org.cowslipstair.model.config.ZoneName;
+import org.cowslipstair.model.fleet.GatewayId;
+import org.cowslipstair.model.fleet.GatewayName;
+import org.cowslipstair.model.fleet.Member;
+import org.cowslipstair.model.fleet.MemberState;
+import org.cowslipstair.model.peer.LeaseMessage;
+import org.cowslipstair.model.peer.LeaseMessage.Acquire;
+import org.cowslipstair.model.peer.LeaseMessage.CancelAcquire;
+import org.cowslipstair.model.peer.LeaseMessage.Grant;
+import org.cowslipstair.model.peer.LeaseMessage.HandOver;
+import org.cowslipstair.model.peer.LeaseMessage.HandedBackend;
+import org.cowslipstair.model.peer.LeaseMessage.HandedLease;
+import org.cowslipstair.model.peer.LeaseMessage.Held;
+import org.cowslipstair.model.peer.LeaseMessage.HeldLease;
+import org.cowslipstair.model.peer.LeaseMessage.Refuse;
+import org.cowslipstair.model.peer.LeaseMessage.RefuseReason;
+import org.cowslipstair.model.peer.LeaseMessage.Release;
+import org.cowslipstair.model.peer.LeaseMessage.WhenFull;
+import org.cowslipstair.model.peer.LeaseMessage.Withdraw;
+import org.cowslipstair.model.pool.BackendState;
+import org.cowslipstair.model.pool.CallEnd;
+import org.cowslipstair.model.pool.CallReport;
+import org.cowslipstair.model.pool.PoolId;
+import org.junit.jupiter.api.Test;
+
+class BrokerCoreTest {
+  private static final long NS_PER_MS = 1_000_000L;
+  private static final ZoneName ZONE = new ZoneName("a");
+  private static final PoolId POOL = new PoolId(new ServiceName("watch"), ZONE);
+  private static final GatewayId SELF = new GatewayId(new GatewayName("g0"), 1);
+  private static final GatewayId PEER = new GatewayId(new GatewayName("g1"), 1);
+  private static final GatewayId OTHER = new GatewayId(new GatewayName("g2"), 1);
+  private static final BackendName B0 = new BackendName("b0");
+  private final BrokerCore broker =
+      new BrokerCore(
+          POOL,
+          BrokerSettings.defaults(),
+          new PoolBackends(
+              POOL, BackendTrackerSettings.defaults(), new Random(1), InvariantMonitor.failing()),
+          new Random(1),
+          InvariantMonitor.failing());
+  private long nowNs = 1;
+
+  private void configure(int backends) {
+    List<BackendServer> members = new ArrayList<>();
+    Set<BackendName> taking = new HashSet<>();
+    for (int i = 0; i < backends; i++) {
+      BackendName name = new BackendName("b" + i);
+      HostPort address = new HostPort("127.0.0.1", 1);
+      members.add(new BackendServer(name, Labels.empty(), ZONE, address, 3, 260));
+      taking.add(name);
+    }
+    broker.configure(members, taking, 1_000 * NS_PER_MS, nowNs);
+  }
+
+  private static FleetView view(GatewayId... ids) {
+    List<Member> members = new ArrayList<>();
+    for (GatewayId id : ids) {
+      members.add(new Member(id, ZONE, new HostPort("127.0.0.1", 1), MemberState.LIVE));
+    }
+    return new FleetView(1, SELF, members, false);
+  }
+
+  private void startRecovered(int backends) {
+    configure(backends);
+    broker.startTerm(view(SELF, PEER, OTHER), nowNs);
+    for (GatewayId id : List.of(SELF, PEER, OTHER)) {
+      send(id, new Held(POOL, 1, List.of()));
+    }
+    advance(200);
+  }
+
+  private List<LeaseMessage> advance(long ms) {
+    nowNs += ms * NS_PER_MS;
+    return sent(broker.tick(nowNs));
+  }
+
+  private List<LeaseMessage> send(GatewayId from, LeaseMessage message) {
+    return sent(broker.onMessage(from, message, nowNs));
+  }
+
+  private static List<LeaseMessage> sent(List<BrokerAction> actions) {
+    List<LeaseMessage> messages = new ArrayList<>();
+    for (BrokerAction action : actions) {
+      if (action instanceof BrokerAction.Send(GatewayId _, LeaseMessage message)) {
+        messages.add(message);
+      }
+    }
+    return messages;
+  }
+
+  private static Acquire acquire(long number, long remainingMs, WhenFull whenFull) {
+    return new Acquire(POOL, number, remainingMs * NS_PER_MS, whenFull, Set.of());
+  }
+
+  private static Release release(long number, CallEnd end) {
+    return new Release(POOL, number, new CallReport(end, NS_PER_MS));
+  }
+
+  @Test
+  void repeatedAcquireGetsTheSameGrantAndNoneAfterItsEnd() {
+    startRecovered(2);
+
+    List<LeaseMessage> first = send(PEER, acquire(5, 100, WhenFull.WAIT));
+    List<LeaseMessage> again = send(PEER, acquire(5, 90, WhenFull.WAIT));
+    send(PEER, release(5, CallEnd.ANSWERED));
+    List<LeaseMessage> late = send(PEER, acquire(5, 80, WhenFull.WAIT));
+
+    assertThat(first.getFirst(), instanceOf(Grant.class));
+    assertThat(((Grant) again.getFirst()).backend(), is(((Grant) first.getFirst()).backend()));
+    assertThat(late.getFirst(), instanceOf(Refuse.class));
+    assertThat(broker.free(), is(2));
+  }
+
+  @Test
+  void slotOfCancelledCallStaysBusyForTheGrace() {
+    startRecovered(1);
+    send(PEER, acquire(1, 100, WhenFull.REFUSE));
+
+    send(PEER, release(1, CallEnd.CANCELLED));
+    assertThat(broker.free(), is(0));
+    advance(199);
+    assertThat(broker.free(), is(0));
+    advance(1);
+
+    assertThat(broker.free(), is(1));
+  }
+
+  @Test
+  void slotOfDeadGatewayStaysBusyForTheGrace() {
+    startRecovered(1);
+    send(PEER, acquire(1, 100, WhenFull.REFUSE));
+
+    broker.onView(view(SELF, OTHER), nowNs);
+    advance(199);
+    assertThat(broker.free(), is(0));
+    advance(1);
+
+    assertThat(broker.free(), is(1));
+  }
+
+  @Test
+  void earliestDeadlineIsServedFirstAndHopelessWaitsAreRefusedAtOnce() {
+    startRecovered(1);
+    send(PEER, acquire(1, 1_000, WhenFull.REFUSE));
+    send(PEER, new Release(POOL, 1, new CallReport(CallEnd.ANSWERED, 20 * NS_PER_MS)));
+    send(PEER, acquire(2, 1_000, WhenFull.REFUSE));
+    send(PEER, acquire(3, 500, WhenFull.WAIT));
+    send(OTHER, acquire(4, 300, WhenFull.WAIT));
+
+    List<LeaseMessage> hopeless = send(OTHER, acquire(5, 30, WhenFull.WAIT));
+    List<LeaseMessage> served = send(PEER, release(2, CallEnd.ANSWERED));
+
+    assertThat(((Refuse) hopeless.getFirst()).reason(), is(RefuseReason.WAIT_TOO_LONG));
+    assertThat(((Grant) served.getFirst()).requestNumber(), is(4L));
+  }
+
+  @Test
+  void cancelThatOvertakesItsAcquirePreventsTheGrant() {
+    startRecovered(1);
+
+    send(PEER, new CancelAcquire(POOL, 7));
+    List<LeaseMessage> answer = send(PEER, acquire(7, 100, WhenFull.WAIT));
+
+    assertThat(answer.getFirst(), instanceOf(Refuse.class));
+    assertThat(broker.free(), is(1));
+  }
+
+  @Test
+  void recoveryGrantsNothingBeyondReportsUntilAllPeersReported() {
+    configure(2);
+    broker.startTerm(view(SELF, PEER, OTHER), nowNs);
+    send(SELF, new Held(POOL, 1, List.of()));
+    HeldLease held = new HeldLease(3, B0, 500 * NS_PER_MS, false);
+    send(PEER, new Held(POOL, 9, List.of(held)));
+    advance(300);
+
+    assertThat(send(PEER, acquire(10, 100, WhenFull.REFUSE)).getFirst(), instanceOf(Refuse.class));
+    send(PEER, release(3, CallEnd.ANSWERED));
+    List<LeaseMessage> reused = send(PEER, acquire(11, 100, WhenFull.REFUSE));
+    assertThat(((Grant) reused.getFirst()).backend(), is(B0));
+    assertThat(send(PEER, acquire(12, 100, WhenFull.REFUSE)).getFirst(), instanceOf(Refuse.class));
+
+    send(OTHER, new Held(POOL, 1, List.of()));
+    assertThat(send(PEER, acquire(13, 100, WhenFull.REFUSE)).getFirst(), instanceOf(Grant.class));
+  }
+
+  @Test
+  void recoveryEndsWhenTheLongestUnseenLeaseHasExpired() {
+    configure(1);
+    broker.startTerm(view(SELF, PEER), nowNs);
+
+    advance(3_199);
+    assertThat(broker.free(), is(0));
+    advance(1);
+
+    assertThat(broker.free(), is(1));
+  }
+
+  @Test
+  void handOverIsAdoptedAtOnceAndOnlyOnce() {
+    configure(1);
+    HandedLease lease = new HandedLease(PEER, 4, B0, 400 * NS_PER_MS, false);
+    HandedBackend warm = new HandedBackend(B0, new BackendState.Warm(), 3);
+    HandOver handOver = new HandOver(POOL, 1, true, List.of(lease), List.of(warm));
+    send(OTHER, handOver);
+    broker.startTerm(view(SELF, PEER, OTHER), nowNs);
+
+    assertThat(broker.free(), is(2));
+    send(PEER, new Held(POOL, 6, List.of()));
+    assertThat(broker.free(), is(3));
+    send(OTHER, handOver);
+    assertThat(broker.free(), is(3));
+  }
+
+  @Test
+  void leasesPastAFallenLimitAreWithdrawnOnce() {
+    configure(1);
+    HandedBackend warm = new HandedBackend(B0, new BackendState.Warm(), 3);
+    send(OTHER, new HandOver(POOL, 1, true, List.of(), List.of(warm)));
+    broker.startTerm(view(SELF, PEER, OTHER), nowNs);
+    for (int number = 1; number <= 3; number++) {
+      send(PEER, acquire(number, 100, WhenFull.REFUSE));
+    }
+
+    List<LeaseMessage> fallen = send(PEER, release(1, CallEnd.SHED));
+
+    assertThat(fallen, hasSize(1));
+    assertThat(fallen.getFirst(), instanceOf(Withdraw.class));
+    assertThat(advance(1), is(empty()));
+  }
+
+  @Test
+  void brokerWithoutTermRefusesAndHandsItsTableToTheSuccessor() {
+    startRecovered(1);
+    send(PEER, acquire(1, 100, WhenFull.REFUSE));
+    send(PEER, acquire(2, 100, WhenFull.WAIT));
+
+    List<LeaseMessage> last = sent(broker.endTerm(Optional.of(OTHER), nowNs));
+    List<LeaseMessage> after = send(PEER, acquire(3, 100, WhenFull.WAIT));
+
+    assertThat(last, hasSize(2));
+    assertThat(((HandOver) last.getLast()).leases(), hasSize(1));
+    assertThat(((Refuse) after.getFirst()).reason(), is(RefuseReason.NOT_BROKER));
+    assertThat(broker.inTerm(), is(not(true)));
+  }
+}
