--- a/adapters/src/main/java/org/cowslipstair/adapters/peer/MembershipMessageCodec.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/peer/MembershipMessageCodec.java
@@ -56,7 +56,7 @@
     out.integer(config.storeTerm());
     out.integer(config.revision());
     out.integer(config.digest());
-    out.bool(heartbeat.storeContact());
+    out.integer(heartbeat.storeContactAgeMs());
     out.count(heartbeat.freeSlots());
     for (PoolFree free : heartbeat.freeSlots()) {
       out.pool(free.pool());
@@ -80,14 +80,14 @@
     long intervalMs = in.integer(0, Integer.MAX_VALUE);
     ConfigVersion config =
         new ConfigVersion(new StoreId(in.name()), in.integer(), in.integer(), in.integer());
-    boolean storeContact = in.bool();
+    long storeContactAgeMs = in.integer(0, Integer.MAX_VALUE);
     int count = in.count();
     List<PoolFree> freeSlots = new ArrayList<>();
     for (int i = 0; i < count; i++) {
       freeSlots.add(new PoolFree(in.pool(), in.integer(0, Integer.MAX_VALUE)));
     }
     Member current = new Member(sender.id(), sender.zone(), sender.peerAddress(), state);
-    return new Heartbeat(sequence, current, intervalMs, config, storeContact, freeSlots);
+    return new Heartbeat(sequence, current, intervalMs, config, storeContactAgeMs, freeSlots);
   }
 
   private static Roster readRoster(WireReader in) throws ProtocolException {
--- a/lib/src/main/java/org/cowslipstair/logic/membership/HeartbeatIntake.java
+++ b/lib/src/main/java/org/cowslipstair/logic/membership/HeartbeatIntake.java
@@ -67,7 +67,7 @@
     boolean wasLive = known.filter(m -> m.state() == MemberState.LIVE).isPresent();
     peer.member = Optional.of(sender);
     peer.sequence = heartbeat.sequence();
-    peer.hasStoreContact = heartbeat.storeContact();
+    peer.storeContactNs = nowNs - TimeUnit.MILLISECONDS.toNanos(heartbeat.storeContactAgeMs());
     peer.hasLeft = false;
     peer.heard(settings.silenceNs(TimeUnit.MILLISECONDS.toNanos(heartbeat.intervalMs())), nowNs);
     if (isNew) {
--- a/lib/src/main/java/org/cowslipstair/logic/membership/Isolation.java
+++ b/lib/src/main/java/org/cowslipstair/logic/membership/Isolation.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Decides whether a gateway is cut off from all that could tell it of new configuration: it has
@@ -10,6 +11,8 @@
  */
 final class Isolation {
   private static final long NEVER = Long.MIN_VALUE / 2;
+  private static final long MAX_AGE_MS = 60_000;
+  private static final long DRAIN_NS = TimeUnit.MILLISECONDS.toNanos(100);
 
   private final MembershipSettings settings;
   private long lastContactNs;
@@ -31,33 +34,36 @@
     return !hasMajority;
   }
 
-  boolean hasStoreContact(long nowNs) {
-    return nowNs - lastStoreContactNs < settings.isolationNs();
+  long storeContactAgeMs(long nowNs) {
+    return Math.min(MAX_AGE_MS, TimeUnit.NANOSECONDS.toMillis(nowNs - lastStoreContactNs));
   }
 
   void onStoreContact(long nowNs) {
-    lastStoreContactNs = nowNs;
-    lastContactNs = nowNs;
+    if (nowNs >= resumedAtNs) {
+      lastStoreContactNs = nowNs;
+      lastContactNs = nowNs;
+    }
   }
 
-  /** Makes peers count only once they are heard again. */
+  /** Makes peers and store count only once they are heard again, not by what lay in buffers. */
   void onPause(long nowNs) {
-    resumedAtNs = nowNs;
+    resumedAtNs = nowNs + DRAIN_NS;
   }
 
   /** Returns the change, if there is one. */
   Optional<MembershipEvent> evaluate(Collection<Peer> peers, long nowNs) {
     int known = 1;
     int reachable = 1;
-    boolean peerHasStore = false;
     for (Peer peer : peers) {
       boolean isReachable = peer.isReachableSince(resumedAtNs);
       known += peer.countsAsKnown() ? 1 : 0;
       reachable += isReachable && peer.countsAsKnown() ? 1 : 0;
-      peerHasStore |= isReachable && peer.hasStoreContact;
+      if (isReachable) {
+        lastContactNs = Math.max(lastContactNs, peer.storeContactNs);
+      }
     }
     hasMajority = 2 * reachable > known;
-    if (hasMajority || peerHasStore) {
+    if (hasMajority && nowNs >= resumedAtNs) {
       lastContactNs = nowNs;
     }
     boolean isCutOff = nowNs - lastContactNs >= settings.isolationNs();
--- a/lib/src/main/java/org/cowslipstair/logic/membership/MembershipCore.java
+++ b/lib/src/main/java/org/cowslipstair/logic/membership/MembershipCore.java
@@ -270,9 +270,10 @@
 
   private void sendHeartbeat(List<GatewayName> to) {
     sequence++;
-    boolean hasContact = isolation.hasStoreContact(lastTurnNs);
+    long contactAgeMs = isolation.storeContactAgeMs(lastTurnNs);
     long intervalMs = TimeUnit.NANOSECONDS.toMillis(interval());
-    Heartbeat heartbeat = new Heartbeat(sequence, self, intervalMs, config, hasContact, freeSlots);
+    Heartbeat heartbeat =
+        new Heartbeat(sequence, self, intervalMs, config, contactAgeMs, freeSlots);
     to.forEach(name -> actions.add(new MembershipAction.Send(name, heartbeat)));
   }
 
--- a/lib/src/main/java/org/cowslipstair/logic/membership/Peer.java
+++ b/lib/src/main/java/org/cowslipstair/logic/membership/Peer.java
@@ -23,7 +23,7 @@
   long sequence = -1;
   long silentAtNs;
   long lastHeardNs = Long.MIN_VALUE;
-  boolean hasStoreContact;
+  long storeContactNs = Long.MIN_VALUE;
   long namesakeSinceNs = Long.MAX_VALUE;
   boolean isConflictReported;
 
@@ -50,7 +50,7 @@
     sequence = -1;
     member = Optional.empty();
     hasLeft = false;
-    hasStoreContact = false;
+    storeContactNs = Long.MIN_VALUE;
     namesakeSinceNs = Long.MAX_VALUE;
     isConflictReported = false;
   }
--- a/lib/src/main/java/org/cowslipstair/model/peer/MembershipMessage.java
+++ b/lib/src/main/java/org/cowslipstair/model/peer/MembershipMessage.java
@@ -16,7 +16,7 @@
    * @param sequence rises by one with each heartbeat of this process life
    * @param intervalMs time until the next heartbeat
    * @param config configuration that the sender has in force
-   * @param storeContact whether the store lately confirmed the sender's configuration
+   * @param storeContactAgeMs time since the store last confirmed the sender's configuration
    * @param freeSlots free slots of the pools whose broker is the sender
    */
   record Heartbeat(
@@ -24,7 +24,7 @@
       Member sender,
       long intervalMs,
       ConfigVersion config,
-      boolean storeContact,
+      long storeContactAgeMs,
       List<PoolFree> freeSlots)
       implements MembershipMessage {
     /** Copies the list. */
