Prove at most once with connections cut at every byte

Real sockets, real call service: request and answer are cut at each byte by reset or orderly end, on fresh and pooled connections; sheds, late answers, pipelining and 16 concurrent callers over breaking connections. An answer lost before the caller saw a byte is now a 502 problem instead of a closed connection.

--- a/adapters/src/main/java/org/cowslipstair/adapters/http/AnswerWriter.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/http/AnswerWriter.java
@@ -49,7 +49,7 @@
    * Writes an answer. A small body is read whole, which frees the slot, before the first byte goes
    * to the caller.
    *
-   * @throws AnswerLostException if the body broke off before anything was written
+   * @throws AnswerLostException if the body broke off before anything was sent
    * @throws IOException if the body or the caller broke off later
    */
   void writeAnswer(
@@ -74,7 +74,7 @@
     OutputStream out = response.getOutputStream();
     out.write(start);
     if (!whole) {
-      copyRest(answer.body(), out, live);
+      copyRest(answer.body(), response, live);
     }
     out.close();
   }
@@ -153,16 +153,30 @@
     return map;
   }
 
-  private static void copyRest(InputStream body, OutputStream out, boolean live)
-      throws IOException {
+  private static void copyRest(InputStream body, HttpServletResponse response, boolean live)
+      throws IOException, AnswerLostException {
+    OutputStream out = response.getOutputStream();
     byte[] buffer = new byte[BUFFER_BYTES];
-    int count = body.read(buffer);
+    int count = readRest(body, buffer, response);
     while (count >= 0) {
       out.write(buffer, 0, count);
       if (live) {
         out.flush();
       }
-      count = body.read(buffer);
+      count = readRest(body, buffer, response);
+    }
+  }
+
+  private static int readRest(InputStream body, byte[] buffer, HttpServletResponse response)
+      throws IOException, AnswerLostException {
+    try {
+      return body.read(buffer);
+    } catch (IOException e) {
+      if (response.isCommitted()) {
+        throw e;
+      }
+      response.reset();
+      throw new AnswerLostException(e);
     }
   }
 }
--- a/adapters/src/main/java/org/cowslipstair/adapters/http/CallerExchange.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/http/CallerExchange.java
@@ -75,8 +75,7 @@
         try (answer) {
           writer.writeAnswer(response, answer, requestId, close);
         } catch (AnswerLostException _) {
-          CallResult lost = new CallResult.MayHaveRun(MayHaveRunReason.CONNECTION_LOST);
-          finish(response, requestId, lost);
+          writeLost(response, requestId, close);
         }
       }
       case CallResult.NotRun notRun ->
@@ -86,6 +85,13 @@
     }
   }
 
+  /** Tells a caller that has seen nothing of an answer yet that the answer was lost. */
+  private void writeLost(HttpServletResponse response, String requestId, boolean close)
+      throws IOException {
+    CallResult.MayHaveRun lost = new CallResult.MayHaveRun(MayHaveRunReason.CONNECTION_LOST);
+    writer.writeProblem(response, Problem.of(lost), requestId, close);
+  }
+
   /** Closes the connection, so that the caller cannot take a part for the whole. */
   private static void abort(ServletContextRequest core, Throwable cause) {
     core.getConnectionMetaData().getConnection().getEndPoint().close(cause);
--- a/adapters/src/main/java/org/cowslipstair/adapters/http/OkHttpBackendTransport.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/http/OkHttpBackendTransport.java
@@ -155,6 +155,11 @@
     return client.connectionPool().connectionCount();
   }
 
+  /** Closes the connections that no call uses. */
+  public void closeIdleConnections() {
+    client.connectionPool().evictAll();
+  }
+
   @Override
   public void close() {
     client.dispatcher().cancelAll();
--- a/adapters/src/test/java/org/cowslipstair/adapters/http/Edge.java
+++ b/adapters/src/test/java/org/cowslipstair/adapters/http/Edge.java
@@ -1,42 +1,70 @@
 package org.cowslipstair.adapters.http;
 
+import io.reactivex.rxjava3.schedulers.Schedulers;
+import java.lang.reflect.Proxy;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.cowslipstair.logic.admission.Permit;
+import org.cowslipstair.logic.attempt.AttemptGuard;
+import org.cowslipstair.logic.attempt.AttemptSettings;
+import org.cowslipstair.logic.call.CallDecision;
 import org.cowslipstair.logic.call.CallHandler;
-import org.cowslipstair.logic.call.CallRequest;
-import org.cowslipstair.logic.call.CallResult;
-import org.cowslipstair.model.call.MayHaveRunReason;
+import org.cowslipstair.logic.call.CallHooks;
+import org.cowslipstair.logic.call.CallPorts;
+import org.cowslipstair.logic.call.CallService;
+import org.cowslipstair.logic.call.CallSettings;
+import org.cowslipstair.logic.call.CallSummary;
+import org.cowslipstair.logic.invariant.InvariantMonitor;
 import org.cowslipstair.model.call.NotRunReason;
 import org.cowslipstair.model.config.BackendServer;
+import org.cowslipstair.model.config.ConfigSnapshot;
 import org.cowslipstair.model.config.HostPort;
-import org.cowslipstair.port.BackendException;
-import org.cowslipstair.port.BackendTransport.BackendCall;
+import org.cowslipstair.model.config.Labels;
+import org.cowslipstair.model.config.PolicyKind;
+import org.cowslipstair.model.config.RoutingRule;
+import org.cowslipstair.model.config.RuleName;
+import org.cowslipstair.model.config.Selector;
+import org.cowslipstair.model.config.Service;
+import org.cowslipstair.model.config.ServiceName;
+import org.cowslipstair.model.config.Zone;
+import org.cowslipstair.model.pool.CallReport;
 import org.cowslipstair.port.MonotonicClock;
+import org.cowslipstair.port.PlatformStore;
 
-/** Both sides of a gateway, joined by a handler that sends each call once to one backend. */
+/** Both HTTP sides of a gateway, joined by the real call service with one backend server. */
 final class Edge implements AutoCloseable {
-  static final long CALL_TIMEOUT_NS = 20_000_000_000L;
-  static final int MAX_CONNECTIONS = 14;
+  static final long SERVICE_TIMEOUT_MS = 20_000;
+  private static final int MAX_CONNECTIONS = 64;
   final OkHttpBackendTransport transport;
   final CallerServer server;
   final AtomicInteger handled = new AtomicInteger();
-  private final BackendServer backend;
+  private final MonotonicClock clock = MonotonicClock.system();
+  private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
 
   Edge(BackendServer backend) {
     this(backend, CallerLimits.defaults());
   }
 
   Edge(BackendServer backend, CallerLimits limits) {
-    this.backend = backend;
-    this.transport =
-        new OkHttpBackendTransport(
-            BackendLimits.defaults(), _ -> MAX_CONNECTIONS, MonotonicClock.system());
+    transport = new OkHttpBackendTransport(BackendLimits.defaults(), _ -> MAX_CONNECTIONS, clock);
     AtomicInteger ids = new AtomicInteger();
-    CallHandler handler = this::handle;
-    this.server =
+    CallService service = callService(backend);
+    CallHandler handler =
+        request -> {
+          handled.incrementAndGet();
+          return service.handle(request);
+        };
+    server =
         new CallerServer(
             new CallerServerSettings(new HostPort("127.0.0.1", 0), limits),
             handler,
-            MonotonicClock.system(),
+            clock,
             () -> "made-" + ids.incrementAndGet());
     server.start();
   }
@@ -45,27 +73,93 @@
     return server.port();
   }
 
-  private CallResult handle(CallRequest request) throws InterruptedException {
-    handled.incrementAndGet();
-    long latestNs = MonotonicClock.system().nowNs() + CALL_TIMEOUT_NS;
-    long deadlineNs = Math.min(latestNs, request.callerDeadlineNs());
-    BackendCall call =
-        new BackendCall(
-            request.method(), request.target(), request.headers(), request.body(), deadlineNs);
-    try {
-      return new CallResult.Answered(transport.send(backend, call));
-    } catch (BackendException.NotSent _) {
-      return new CallResult.NotRun(NotRunReason.BACKEND_UNREACHABLE, 1_500);
-    } catch (BackendException.DeadlinePassed _) {
-      return new CallResult.MayHaveRun(MayHaveRunReason.DEADLINE_PASSED);
-    } catch (BackendException _) {
-      return new CallResult.MayHaveRun(MayHaveRunReason.CONNECTION_LOST);
-    }
+  private CallService callService(BackendServer backend) {
+    ConfigSnapshot snapshot = snapshot(backend);
+    CallPorts ports =
+        new CallPorts(
+            () -> snapshot,
+            _ -> _ -> permit(backend),
+            transport,
+            guard(),
+            clock,
+            Schedulers.computation(),
+            threads);
+    return new CallService(
+        CallSettings.defaults(), ports, new Random(7), InvariantMonitor.failing(), new NoHooks());
+  }
+
+  private static ConfigSnapshot snapshot(BackendServer backend) {
+    Labels none = backend.labels();
+    ServiceName name = new ServiceName("watch");
+    Selector all = Selector.everything();
+    Service service =
+        new Service(name, none, all, all, PolicyKind.RANDOM, SERVICE_TIMEOUT_MS, 1, false);
+    RoutingRule rule =
+        new RoutingRule(
+            new RuleName("all"),
+            none,
+            0,
+            Optional.empty(),
+            "/",
+            Set.of(),
+            name,
+            Optional.empty(),
+            false);
+    return ConfigSnapshot.of(1, List.of(new Zone(backend.zone(), none), backend, service, rule));
+  }
+
+  private AttemptGuard guard() {
+    PlatformStore unused =
+        (PlatformStore)
+            Proxy.newProxyInstance(
+                PlatformStore.class.getClassLoader(),
+                new Class<?>[] {PlatformStore.class},
+                (_, _, _) -> {
+                  throw new UnsupportedOperationException();
+                });
+    return new AttemptGuard(
+        unused, AttemptSettings.defaults(), clock, InstantSource.system(), threads, () -> "id");
+  }
+
+  private static Permit permit(BackendServer backend) {
+    return new Permit() {
+      @Override
+      public BackendServer backend() {
+        return backend;
+      }
+
+      @Override
+      public boolean mayStart() {
+        return true;
+      }
+
+      @Override
+      public long expiresAtNs() {
+        return Long.MAX_VALUE;
+      }
+
+      @Override
+      public void release(CallReport report) {}
+    };
   }
 
   @Override
   public void close() {
     server.close();
     transport.close();
+    threads.shutdown();
+  }
+
+  private static final class NoHooks implements CallHooks {
+    @Override
+    public Optional<NotRunReason> refusal() {
+      return Optional.empty();
+    }
+
+    @Override
+    public void decided(String requestId, long atNs, CallDecision decision) {}
+
+    @Override
+    public void finished(CallSummary summary) {}
   }
 }
--- a/adapters/src/test/java/org/cowslipstair/adapters/http/RawBackend.java
+++ b/adapters/src/test/java/org/cowslipstair/adapters/http/RawBackend.java
@@ -47,6 +47,14 @@
 
   /** A request as it was on the wire. */
   record Received(String requestLine, List<String> headers, byte[] body) {
+    int wireBytes() {
+      int bytes = requestLine.length() + 2 + body.length;
+      for (String header : headers) {
+        bytes += header.length() + 2;
+      }
+      return bytes + 2;
+    }
+
     Optional<String> header(String name) {
       String prefix = name.toLowerCase() + ": ";
       return headers.stream()
@@ -138,6 +146,20 @@
 
     /** Reads a whole request and counts it as run. */
     Received read() throws IOException {
+      Received request = peek();
+      run(request);
+      return request;
+    }
+
+    /** Counts a request as run. */
+    void run(Received request) {
+      request
+          .header("X-Request-Id")
+          .ifPresent(id -> runs.computeIfAbsent(id, _ -> new AtomicInteger()).incrementAndGet());
+    }
+
+    /** Reads a whole request without running it. */
+    Received peek() throws IOException {
       String requestLine = readLine();
       List<String> headers = new CopyOnWriteArrayList<>();
       for (String line = readLine(); !line.isEmpty(); line = readLine()) {
@@ -146,9 +168,6 @@
       Received head = new Received(requestLine, headers, new byte[0]);
       Received request = new Received(requestLine, headers, readBody(head));
       received.add(request);
-      request
-          .header("X-Request-Id")
-          .ifPresent(id -> runs.computeIfAbsent(id, _ -> new AtomicInteger()).incrementAndGet());
       return request;
     }
 
