--- a/adapters/src/main/java/org/cowslipstair/adapters/peer/WireWriter.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/peer/WireWriter.java
@@ -15,6 +15,7 @@
 final class WireWriter {
   private final MessageBufferPacker packer = MessagePack.newDefaultBufferPacker();
   private final NameTable names;
+  private long takenBytes;
 
   WireWriter(NameTable names) {
     this.names = names;
@@ -93,13 +94,15 @@
     integer(value.ordinal());
   }
 
+  /** Returns the number of bytes written since the last {@link #take}. */
   int sizeBytes() {
-    return Math.toIntExact(packer.getTotalWrittenBytes());
+    return Math.toIntExact(packer.getTotalWrittenBytes() - takenBytes);
   }
 
   byte[] take() {
     byte[] bytes = packer.toByteArray();
     packer.clear();
+    takenBytes = packer.getTotalWrittenBytes();
     return bytes;
   }
 }
--- a/adapters/src/test/java/org/cowslipstair/adapters/peer/TcpPeerTransportTest.java
+++ b/adapters/src/test/java/org/cowslipstair/adapters/peer/TcpPeerTransportTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.is;
 
 import io.reactivex.rxjava3.subscribers.TestSubscriber;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -23,18 +24,21 @@
 import org.junit.jupiter.api.Test;
 
 class TcpPeerTransportTest {
-  private static final byte[] KEY = "a key of at least 16 bytes".getBytes();
+  private static final byte[] KEY = "a key of at least 16 bytes".getBytes(StandardCharsets.UTF_8);
   private static final ZoneName ZONE = new ZoneName("tz-north-a");
 
   static TcpPeerTransport open(String name, long incarnation) throws Exception {
     return TcpPeerTransport.open(
         PeerTransportSettings.of(new HostPort("127.0.0.1", 0), KEY),
-        address ->
-            new Member(
-                new GatewayId(new GatewayName(name), incarnation), ZONE, address, MemberState.LIVE),
+        address -> member(name, incarnation, address),
         MonotonicClock.system());
   }
 
+  static Member member(String name, long incarnation, HostPort address) {
+    return new Member(
+        new GatewayId(new GatewayName(name), incarnation), ZONE, address, MemberState.LIVE);
+  }
+
   static InstanceEntry entryOf(TcpPeerTransport transport) {
     Member self = transport.self();
     return new InstanceEntry(
--- a/lib/src/main/java/org/cowslipstair/logic/config/ConfigCore.java
+++ b/lib/src/main/java/org/cowslipstair/logic/config/ConfigCore.java
@@ -241,8 +241,16 @@
     return isNewGateway && theirs.term() == life.get().term();
   }
 
-  /** Accepts the present state of a store at an operator's command. */
+  /**
+   * Accepts the present state of a store at an operator's command. Has no effect when that state is
+   * in force or awaited already, so that the command may be given to many gateways.
+   */
   public List<ConfigAction> acceptStore(StoreId storeId) {
+    boolean isInForce = storeId.equals(inForce.storeId()) && refused.isEmpty();
+    boolean isAwaited = accepted.filter(a -> a.storeId().equals(storeId)).isPresent();
+    if (isInForce || isAwaited) {
+      return takeActions();
+    }
     long term = 1 + life.map(StoreLife::term).orElse(0L);
     term = Math.max(term, 1 + accepted.map(StoreLife::term).orElse(0L));
     await(new StoreLife(storeId, term));
--- a/lib/src/test/java/org/cowslipstair/logic/config/ConfigCoreTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/config/ConfigCoreTest.java
@@ -70,6 +70,8 @@
     assertThat(born.stateOf(1), is("out"));
 
     fleet.apply(fleet.node(2), fleet.node(2).core.acceptStore(OTHER));
+    fleet.run(100);
+    fleet.nodes.values().forEach(node -> fleet.apply(node, node.core.acceptStore(OTHER)));
     fleet.run(3_000);
     assertStates(fleet, "in");
     assertThat(fleet.node(0).core.status().refusedStore(), is(Optional.empty()));
