Notice falls into cold by unanswered slot time and rise more slowly

A run of successes survived a report that lowered the limit, and an answer to a forgotten lease could end a shed backoff early. Change: the age sign is now the slot time since the last normal answer; slow runs count above 1.5 times, single results above 4 times the 95th percentile; 24 successes a step; health is asked half way to the second call; results of unknown leases never raise a limit.

--- a/lib/src/main/java/org/cowslipstair/logic/backend/BackendTrackerSettings.java
+++ b/lib/src/main/java/org/cowslipstair/logic/backend/BackendTrackerSettings.java
@@ -7,8 +7,8 @@
  * @param successesPerStep successes at normal service time after which a limit rises by one
  * @param farAboveFactor multiple of the pool's 95th percentile that counts as a fall into cold
  * @param farAboveFloorNs service time below which nothing counts as far above the pool's
- * @param slowRunLength successive results above the pool's 95th percentile that count as such a
- *     fall
+ * @param slowRunFactor multiple of the pool's 95th percentile above which a result is slow
+ * @param slowRunLength successive slow results that count as a fall into cold
  * @param firstRetryNs wait before the first call after a shed answer or a second failure
  * @param longestRetryNs longest such wait
  * @param probeAfterSilenceNs time without results after which a backend server is probed
@@ -19,6 +19,7 @@
     int successesPerStep,
     double farAboveFactor,
     long farAboveFloorNs,
+    double slowRunFactor,
     int slowRunLength,
     long firstRetryNs,
     long longestRetryNs,
@@ -30,9 +31,10 @@
   public static BackendTrackerSettings defaults() {
     return new BackendTrackerSettings(
         1.0,
-        8,
-        3.0,
+        24,
+        4.0,
         50 * NS_PER_MS,
+        1.5,
         3,
         100 * NS_PER_MS,
         5_000 * NS_PER_MS,
@@ -47,6 +49,7 @@
         successesPerStep,
         farAboveFactor,
         farAboveFloorNs,
+        slowRunFactor,
         slowRunLength,
         firstRetryNs,
         longestRetryNs,
--- a/lib/src/main/java/org/cowslipstair/logic/backend/PoolBackends.java
+++ b/lib/src/main/java/org/cowslipstair/logic/backend/PoolBackends.java
@@ -27,7 +27,7 @@
  */
 public final class PoolBackends {
   private static final double NORMAL_QUANTILE = 0.95;
-  private static final int NORMAL_WINDOW = 256;
+  private static final int NORMAL_WINDOW = 512;
   private static final int NORMAL_MIN_SAMPLES = 20;
   private static final int MIN_OTHERS_TO_COMPARE = 2;
   private static final long SLOW_SIGN_VALID_NS = 1_000_000_000L;
@@ -108,8 +108,9 @@
     if (backend == null) {
       return;
     }
-    long startNs = backend.ended(leaseNumber, report.serviceTimeNs(), nowNs);
-    if (backend.isLeaving() || !backend.mayLower(startNs)) {
+    OptionalLong startNs = backend.ended(leaseNumber);
+    long estimatedStartNs = startNs.orElse(nowNs - report.serviceTimeNs());
+    if (backend.isLeaving() || !backend.mayLower(estimatedStartNs)) {
       return;
     }
     switch (report.end()) {
@@ -206,13 +207,17 @@
     }
   }
 
-  private void answered(TrackedBackend backend, long startNs, long serviceTimeNs, long nowNs) {
+  private void answered(
+      TrackedBackend backend, OptionalLong startNs, long serviceTimeNs, long nowNs) {
     backend.noteResult(nowNs);
     if (isFarAbove(serviceTimeNs) || isSlowRun(backend, serviceTimeNs)) {
       slowSign(backend, serviceTimeNs, nowNs);
       return;
     }
     normal.add(serviceTimeNs);
+    if (!slowRuns.containsKey(backend.server().name())) {
+      backend.answeredNormally(nowNs);
+    }
     slowSignAtNs.remove(backend.server().name());
     if (backend.mayRaise(startNs)) {
       backend.succeeded(nowNs);
@@ -242,7 +247,7 @@
 
   private boolean isSlowRun(TrackedBackend backend, long serviceTimeNs) {
     OptionalLong p95 = normal.value();
-    if (p95.isEmpty() || serviceTimeNs <= p95.getAsLong()) {
+    if (p95.isEmpty() || serviceTimeNs <= settings.slowRunFactor() * p95.getAsLong()) {
       slowRuns.remove(backend.server().name());
       return false;
     }
@@ -250,7 +255,11 @@
   }
 
   private void checkAge(TrackedBackend backend, long nowNs) {
-    if (backend.limit() <= 1 || !isFarAbove(backend.oldestAgeNs(nowNs))) {
+    boolean stuck =
+        isFarAbove(backend.unansweredSlotTimeNs(nowNs))
+            && backend.oldestAgeNs(nowNs) >= settings.farAboveFloorNs()
+            && backend.sinceNormalAnswerNs(nowNs) >= settings.farAboveFloorNs();
+    if (backend.limit() <= 1 || !stuck) {
       return;
     }
     if (isPoolSlow(backend, nowNs)) {
@@ -305,6 +314,6 @@
 
   private boolean wantsProbe(TrackedBackend backend, long nowNs) {
     boolean silent = nowNs - backend.lastResultNs() > settings.probeAfterSilenceNs();
-    return silent || doubtful.contains(backend.server().name());
+    return silent || backend.isHalfWayToSecondCall() || doubtful.contains(backend.server().name());
   }
 }
--- a/lib/src/main/java/org/cowslipstair/logic/backend/TrackedBackend.java
+++ b/lib/src/main/java/org/cowslipstair/logic/backend/TrackedBackend.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
 import org.cowslipstair.logic.invariant.Invariant;
 import org.cowslipstair.logic.invariant.InvariantMonitor;
@@ -34,6 +35,7 @@
   private long raisedAtNs = Long.MIN_VALUE;
   private long loweredAtNs = Long.MIN_VALUE;
   private long lastResultNs;
+  private long lastNormalAnswerNs;
   private boolean fresh = true;
 
   TrackedBackend(
@@ -47,6 +49,7 @@
     this.random = random;
     this.monitor = monitor;
     this.lastResultNs = nowNs;
+    this.lastNormalAnswerNs = nowNs;
     this.probeBudget =
         new ProbeBudget(server.name().value(), settings.probesPerSecond(), monitor, nowNs);
   }
@@ -139,10 +142,10 @@
     startNsByLease.put(leaseNumber, nowNs);
   }
 
-  /** Removes a running call and returns when it started. */
-  long ended(long leaseNumber, long serviceTimeNs, long nowNs) {
+  /** Removes a running call and returns when it started, if that is known. */
+  OptionalLong ended(long leaseNumber) {
     Long startNs = startNsByLease.remove(leaseNumber);
-    return startNs == null ? nowNs - serviceTimeNs : startNs;
+    return startNs == null ? OptionalLong.empty() : OptionalLong.of(startNs);
   }
 
   /** Returns the age of the oldest running call. */
@@ -154,14 +157,37 @@
     return oldest;
   }
 
+  /**
+   * Returns the slot time that running calls have spent since the last answer at normal service
+   * time. Calls that take long while others are answered do not count.
+   */
+  long unansweredSlotTimeNs(long nowNs) {
+    long sumNs = 0;
+    for (long startNs : startNsByLease.values()) {
+      sumNs += nowNs - Math.max(startNs, lastNormalAnswerNs);
+    }
+    return sumNs;
+  }
+
+  /** Returns the time since the last answer at normal service time. */
+  long sinceNormalAnswerNs(long nowNs) {
+    return nowNs - lastNormalAnswerNs;
+  }
+
+  void answeredNormally(long nowNs) {
+    lastNormalAnswerNs = nowNs;
+  }
+
   /** Whether a call that started then may lower the limit: it has not fallen since. */
   boolean mayLower(long startNs) {
     return startNs >= loweredAtNs;
   }
 
-  /** Whether a call that started then counts towards a higher limit. */
-  boolean mayRaise(long startNs) {
-    return startNs >= loweredAtNs && startNs >= raisedAtNs;
+  /** Whether a call that started then counts towards a higher limit; unknown ones do not. */
+  boolean mayRaise(OptionalLong startNs) {
+    return startNs.isPresent()
+        && startNs.getAsLong() >= loweredAtNs
+        && startNs.getAsLong() >= raisedAtNs;
   }
 
   void noteResult(long nowNs) {
@@ -174,14 +200,23 @@
     failuresInRow = 0;
     switch (state) {
       case Cold(int successes) -> risen(successes + 1, nowNs);
-      case Suspect _, Shedding _ -> {
-        enter(new Cold(1), Math.min(1, slots()), nowNs);
-      }
+      case Suspect _ when limit > 0 -> enter(new Cold(1), limit, nowNs);
+      case Suspect _, Shedding _ -> {}
       case Warm _ -> forgive();
       case Leaving _ -> {}
     }
   }
 
+  /**
+   * Whether a cold backend server is about to get a second call at once. Its health is asked then:
+   * it may still say that it is cold, which starts the run of successes again.
+   */
+  boolean isHalfWayToSecondCall() {
+    return limit == 1
+        && state instanceof Cold(int successes)
+        && successes >= settings.successesPerStep() / 2;
+  }
+
   /** Ends a run of successes without lowering the limit. */
   void interruptedRun() {
     if (state instanceof Cold) {
@@ -239,6 +274,7 @@
 
   private void fitToSlots(long nowNs) {
     if (limit > slots()) {
+      interruptedRun();
       enter(state, slots(), nowNs);
     }
     if (state instanceof Warm && limit < slots()) {
--- a/lib/src/test/java/org/cowslipstair/logic/backend/Backends.java
+++ b/lib/src/test/java/org/cowslipstair/logic/backend/Backends.java
@@ -26,6 +26,22 @@
     return new PoolBackends(POOL, settings, new Random(seed), InvariantMonitor.failing());
   }
 
+  /** Settings under which limits rise after few successes. */
+  static BackendTrackerSettings shortRuns(int successesPerStep) {
+    BackendTrackerSettings usual = BackendTrackerSettings.defaults();
+    return new BackendTrackerSettings(
+        usual.probesPerSecond(),
+        successesPerStep,
+        usual.farAboveFactor(),
+        usual.farAboveFloorNs(),
+        usual.slowRunFactor(),
+        usual.slowRunLength(),
+        usual.firstRetryNs(),
+        usual.longestRetryNs(),
+        usual.probeAfterSilenceNs(),
+        usual.coldAfterSilenceNs());
+  }
+
   static BackendName name(int number) {
     return new BackendName("watch-" + number);
   }
