Spare the load's callers a shared lock and ramp the rate up

Cause: a thread dump showed 7 k callers waiting for the lock of one OkHttp dispatcher and pool. Change: a client for each gateway; the rate rises over the warm-up.

--- a/experiments/src/main/java/org/cowslipstair/experiments/load/HttpCallSender.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/load/HttpCallSender.java
@@ -4,7 +4,9 @@
 import java.io.InputStream;
 import java.net.ConnectException;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import okhttp3.ConnectionPool;
@@ -24,13 +26,13 @@
  * checks that each answer is whole and its own.
  */
 public final class HttpCallSender implements CallSender, AutoCloseable {
-  private static final int MAX_IDLE_CONNECTIONS = 4_096;
+  private static final int MAX_IDLE_CONNECTIONS = 1_024;
   private static final long NS_PER_US = 1_000;
   private static final int BUFFER_BYTES = 8_192;
   private static final MediaType ORDER = MediaType.get("application/octet-stream");
   private static final byte[] ORDER_BODY = new byte[64];
 
-  private final OkHttpClient client;
+  private final Map<HostPort, OkHttpClient> clients = new ConcurrentHashMap<>();
   private final AtomicReference<List<HostPort>> gateways;
   private final String runName;
   private final long timeoutMs;
@@ -45,15 +47,20 @@
     this.gateways = new AtomicReference<>(List.copyOf(gateways));
     this.runName = runName;
     this.timeoutMs = timeoutMs;
-    this.client =
-        new OkHttpClient.Builder()
-            .protocols(List.of(Protocol.HTTP_1_1))
-            .retryOnConnectionFailure(false)
-            .followRedirects(false)
-            .connectionPool(new ConnectionPool(MAX_IDLE_CONNECTIONS, 1, TimeUnit.MINUTES))
-            .connectTimeout(1, TimeUnit.SECONDS)
-            .readTimeout(timeoutMs * 2, TimeUnit.MILLISECONDS)
-            .build();
+  }
+
+  /**
+   * Creates the client of one gateway; a client of its own spares its connections a shared lock.
+   */
+  private OkHttpClient newClient(HostPort gateway) {
+    return new OkHttpClient.Builder()
+        .protocols(List.of(Protocol.HTTP_1_1))
+        .retryOnConnectionFailure(false)
+        .followRedirects(false)
+        .connectionPool(new ConnectionPool(MAX_IDLE_CONNECTIONS, 1, TimeUnit.MINUTES))
+        .connectTimeout(1, TimeUnit.SECONDS)
+        .readTimeout(timeoutMs * 2, TimeUnit.MILLISECONDS)
+        .build();
   }
 
   /** Replaces the addresses, as the platform's balancer does when readiness changes. */
@@ -71,6 +78,7 @@
     List<HostPort> ready = gateways.get();
     HostPort gateway = ready.get((int) (number % ready.size()));
     Request request = request(load, gateway, requestId(number), idempotent);
+    OkHttpClient client = clients.computeIfAbsent(gateway, this::newClient);
     try (Response response = client.newCall(request).execute()) {
       return view(response, requestId(number));
     } catch (ConnectException _) {
@@ -128,7 +136,9 @@
 
   @Override
   public void close() {
-    client.connectionPool().evictAll();
-    client.dispatcher().executorService().shutdown();
+    for (OkHttpClient client : clients.values()) {
+      client.connectionPool().evictAll();
+      client.dispatcher().executorService().shutdown();
+    }
   }
 }
--- a/experiments/src/main/java/org/cowslipstair/experiments/load/OpenLoopLoad.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/load/OpenLoopLoad.java
@@ -13,6 +13,8 @@
 public final class OpenLoopLoad {
   private static final long NS_PER_MS = 1_000_000L;
   private static final double NS_PER_S = 1e9;
+  private static final int RAMP_PERCENT = 75;
+  private static final double MIN_RAMP_FACTOR = 0.02;
 
   private final LoadPlan plan;
   private final CallSender sender;
@@ -57,7 +59,8 @@
     long recordFromNs = startNs + plan.warmUpMs() * NS_PER_MS;
     long dueNs = startNs;
     while (true) {
-      dueNs += Math.round(-Math.log(1 - random.nextDouble()) * NS_PER_S / load.callsPerSecond());
+      double rate = load.callsPerSecond() * rampFactor(dueNs - startNs);
+      dueNs += Math.round(-Math.log(1 - random.nextDouble()) * NS_PER_S / rate);
       if (dueNs >= endNs) {
         return;
       }
@@ -67,6 +70,15 @@
     }
   }
 
+  /** Raises the rate over the warm-up, as a process that has just started is slow. */
+  private double rampFactor(long elapsedNs) {
+    long rampNs = plan.warmUpMs() * NS_PER_MS * RAMP_PERCENT / 100;
+    if (elapsedNs >= rampNs) {
+      return 1;
+    }
+    return MIN_RAMP_FACTOR + (1 - MIN_RAMP_FACTOR) * elapsedNs / rampNs;
+  }
+
   private static void waitUntil(long dueNs) {
     long leftNs = dueNs - System.nanoTime();
     while (leftNs > 0) {
