Write states with names as text and variants with their type

Cause: the state dump showed names as objects and the state of a backend server as {}. Change: StateJson with serializers and a type property.

--- a/gateway/src/main/java/org/cowslipstair/gateway/AdminServer.java
+++ b/gateway/src/main/java/org/cowslipstair/gateway/AdminServer.java
@@ -1,11 +1,5 @@
 package org.cowslipstair.gateway;
 
-import com.fasterxml.jackson.annotation.JsonInclude;
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.SerializationFeature;
-import com.fasterxml.jackson.databind.json.JsonMapper;
-import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import io.javalin.Javalin;
 import io.javalin.http.Context;
 import io.javalin.http.HttpStatus;
@@ -15,15 +9,6 @@
 
 /** Serves health, metrics, state and explanations on an address of its own. */
 public final class AdminServer implements AutoCloseable {
-  private static final ObjectMapper JSON =
-      JsonMapper.builder()
-          .enable(SerializationFeature.INDENT_OUTPUT)
-          .addModule(new Jdk8Module())
-          .defaultPropertyInclusion(
-              JsonInclude.Value.construct(
-                  JsonInclude.Include.NON_ABSENT, JsonInclude.Include.NON_ABSENT))
-          .build();
-
   private final Javalin server;
 
   private AdminServer(Javalin server) {
@@ -75,11 +60,7 @@
   }
 
   private static void json(Context context, Object value) {
-    try {
-      context.contentType("application/json").result(JSON.writeValueAsString(value));
-    } catch (JsonProcessingException e) {
-      throw new IllegalStateException("state cannot be written as JSON", e);
-    }
+    context.contentType("application/json").result(StateJson.write(value));
   }
 
   /** Returns the port that is bound. */
