Compare policies side by side in the load tool

Cause: the broker must be measured beside the baselines in one run. Change: experiments in TOML: scenarios, utilizations, variants in turns on one fleet whose policy is changed through the store; table and SVG chart.

--- a/experiments/src/main/java/org/cowslipstair/experiments/ExperimentsMain.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/ExperimentsMain.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.ParameterException;
 import java.util.Map;
 import org.cowslipstair.experiments.demo.DemoCommand;
+import org.cowslipstair.experiments.plan.LoadCommand;
 
 /** Runs the commands that need the stand-ins. */
 public final class ExperimentsMain {
@@ -14,7 +15,8 @@
 
   /** Parses the command line and runs one command. */
   public static void main(String[] arguments) {
-    Map<String, TrialCommand> commands = Map.of("demo", new DemoCommand());
+    Map<String, TrialCommand> commands =
+        Map.of("demo", new DemoCommand(), "load", new LoadCommand());
     JCommander.Builder builder = JCommander.newBuilder().programName("cowslipstair");
     commands.forEach(builder::addCommand);
     JCommander commander = builder.build();
--- a/experiments/src/main/java/org/cowslipstair/experiments/demo/Demo.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/demo/Demo.java
@@ -3,7 +3,6 @@
 import java.util.Comparator;
 import java.util.Map;
 import java.util.Optional;
-import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import org.cowslipstair.experiments.fleet.Loads;
 import org.cowslipstair.experiments.fleet.TrialFleet;
@@ -11,20 +10,14 @@
 import org.cowslipstair.experiments.load.LoadPlan;
 import org.cowslipstair.experiments.load.OpenLoopLoad;
 import org.cowslipstair.experiments.load.ServiceResult;
-import org.cowslipstair.logic.object.ObjectJson;
 import org.cowslipstair.model.config.BackendServer;
-import org.cowslipstair.model.config.Labels;
-import org.cowslipstair.model.config.ObjectKey;
-import org.cowslipstair.model.config.ObjectKind;
-import org.cowslipstair.model.config.StoredObject;
-import org.cowslipstair.model.config.Zone;
 import org.cowslipstair.model.config.ZoneName;
 import org.cowslipstair.model.fleet.GatewayName;
 import org.cowslipstair.port.StoreException;
 
 /** One run of the demo: load, events at fixed times, a table, and a verdict. */
 final class Demo {
-  static final long SERVICE_TIME_US = 20_000;
+  static final long SERVICE_TIME_US = 50_000;
 
   private static final long WARM_UP_MS = 6_000;
   private static final long ZONE_OUT_MS = 10_000;
@@ -83,12 +76,12 @@
   private void runEvents() {
     try {
       waitUntil(ZONE_OUT_MS);
-      fleet.backends().forEach((name, standin) -> markIfInZone(name.value(), standin::mark));
-      setZoneState(Labels.STATE_OUT);
+      fleet.markZone(zone, ZONE_GRACE_MS);
+      fleet.setZoneOut(zone, true);
       say("zone \"%s\" is taken out".formatted(zone));
       waitUntil(ZONE_IN_MS);
-      fleet.backends().values().forEach(standin -> standin.clearMark());
-      setZoneState("");
+      fleet.clearMarks();
+      fleet.setZoneOut(zone, false);
       say("zone \"%s\" is brought back".formatted(zone));
       waitUntil(COLD_START_MS);
       BackendServer cold = fleet.deployment().backends().getFirst();
@@ -106,38 +99,6 @@
     }
   }
 
-  /** Action on a stand-in that takes a grace. */
-  private interface Mark {
-    void after(long graceMs);
-  }
-
-  private void markIfInZone(String backendName, Mark mark) {
-    for (BackendServer backend : fleet.deployment().backends()) {
-      if (backend.name().value().equals(backendName) && backend.zone().equals(zone)) {
-        mark.after(ZONE_GRACE_MS);
-      }
-    }
-  }
-
-  private void setZoneState(String state) throws StoreException {
-    ObjectKey key = new ObjectKey(ObjectKind.ZONE, zone.value());
-    StoredObject stored = fleet.client().get(key).orElseThrow();
-    Labels labels =
-        fleet.deployment().objects().stream()
-            .filter(object -> object.key().equals(key))
-            .findFirst()
-            .orElseThrow()
-            .labels();
-    Labels changed = state.isEmpty() ? labels : labels.with(Labels.STATE, state);
-    fleet
-        .client()
-        .put(
-            key,
-            ObjectJson.write(new Zone(zone, changed)),
-            stored.version(),
-            UUID.randomUUID().toString());
-  }
-
   private void waitUntil(long atMs) throws InterruptedException {
     long leftNs = startNs + TimeUnit.MILLISECONDS.toNanos(atMs) - System.nanoTime();
     TimeUnit.NANOSECONDS.sleep(Math.max(0, leftNs));
--- a/experiments/src/main/java/org/cowslipstair/experiments/fleet/Deployment.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/fleet/Deployment.java
@@ -41,6 +41,14 @@
     return ConfigSnapshot.of(0, objects).zones().stream().map(Zone::name).toList();
   }
 
+  /** Returns a zone that exists. */
+  public Zone zone(ZoneName zone) {
+    return ConfigSnapshot.of(0, objects)
+        .zone(zone)
+        .orElseThrow(
+            () -> new IllegalArgumentException("zone \"%s\" does not exist".formatted(zone)));
+  }
+
   /** Returns the backend servers by name. */
   public List<BackendServer> backends() {
     return List.copyOf(ConfigSnapshot.of(0, objects).backends());
--- a/experiments/src/main/java/org/cowslipstair/experiments/fleet/TrialFleet.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/fleet/TrialFleet.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.UUID;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.cowslipstair.adapters.http.CallerLimits;
@@ -18,6 +19,9 @@
 import org.cowslipstair.model.config.BackendServer;
 import org.cowslipstair.model.config.ConfigObject;
 import org.cowslipstair.model.config.HostPort;
+import org.cowslipstair.model.config.Labels;
+import org.cowslipstair.model.config.StoredObject;
+import org.cowslipstair.model.config.Zone;
 import org.cowslipstair.model.config.ZoneName;
 import org.cowslipstair.model.fleet.GatewayName;
 import org.cowslipstair.model.fleet.InstanceEntry;
@@ -42,7 +46,7 @@
   private final HttpPlatformStore client;
   private final RunRecord runs = new RunRecord();
   private final Map<BackendName, BackendServerStandin> backends = new HashMap<>();
-  private final Map<GatewayName, GatewayProcess> gateways = new HashMap<>();
+  private final Map<GatewayName, GatewayProcess> gateways = new ConcurrentHashMap<>();
   private final Deployment deployment;
 
   /**
@@ -132,16 +136,6 @@
         entry.leaving());
   }
 
-  private void awaitReady() throws InterruptedException, TimeoutException {
-    long deadlineNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_TIMEOUT_MS);
-    while (!isReady()) {
-      if (System.nanoTime() - deadlineNs > 0) {
-        throw new TimeoutException("gateways are not ready");
-      }
-      TimeUnit.MILLISECONDS.sleep(POLL_MS);
-    }
-  }
-
   private boolean isReady() {
     for (GatewayProcess gateway : gateways.values()) {
       boolean current = gateway.runtime().snapshot().revision() >= store.revision();
@@ -153,6 +147,53 @@
     return true;
   }
 
+  /** Writes an object over the version that the store has. */
+  public void write(ConfigObject object) throws StoreException {
+    long version = client.get(object.key()).map(StoredObject::version).orElse(0L);
+    client.put(object.key(), ObjectJson.write(object), version, UUID.randomUUID().toString());
+  }
+
+  /** Marks a zone out or in. */
+  public void setZoneOut(ZoneName name, boolean out) throws StoreException {
+    Zone zone = deployment.zone(name);
+    Labels labels =
+        out
+            ? zone.labels().with(Labels.STATE, Labels.STATE_OUT)
+            : zone.labels().without(Labels.STATE);
+    write(new Zone(name, labels));
+  }
+
+  /** Starts to count calls in a zone that arrive later than a grace from now on. */
+  public void markZone(ZoneName zone, long graceMs) {
+    for (BackendServer backend : deployment.backends()) {
+      BackendServerStandin standin = backends.get(backend.name());
+      if (standin != null && backend.zone().equals(zone)) {
+        standin.mark(graceMs);
+      }
+    }
+  }
+
+  /** Ends the counting of {@link #markZone}. */
+  public void clearMarks() {
+    backends.values().forEach(BackendServerStandin::clearMark);
+  }
+
+  /** Waits until every gateway has the newest configuration and knows all others. */
+  public void awaitReady() throws InterruptedException, TimeoutException {
+    long deadlineNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_TIMEOUT_MS);
+    while (!isReady()) {
+      if (System.nanoTime() - deadlineNs > 0) {
+        throw new TimeoutException("gateways are not ready");
+      }
+      TimeUnit.MILLISECONDS.sleep(POLL_MS);
+    }
+  }
+
+  /** Starts a new life of a gateway that ended. */
+  public void restartGateway(GatewayName name, ZoneName zone) throws IOException {
+    startGateway(name, zone, gateways.values().stream().map(GatewayProcess::instance).toList());
+  }
+
   /** Stops a gateway as a planned stop does. */
   public void stopGateway(GatewayName name) throws InterruptedException {
     GatewayProcess process = gateways.get(name);
--- /dev/null
+++ b/experiments/src/main/java/org/cowslipstair/experiments/plan/VariantResult.java
@@ -0,0 +1,90 @@
+package org.cowslipstair.experiments.plan;
+
+import java.util.Locale;
+import org.cowslipstair.experiments.load.ServiceResult;
+
+/** Figures of one variant in one scenario, over all its phases. */
+final class VariantResult {
+  private static final double NS_PER_S = 1e9;
+
+  private final ServiceResult calls = new ServiceResult();
+  private final int backends;
+  private final int gateways;
+  private FleetCounts counts = new FleetCounts(0, 0, 0, 0, 0, 0, 0, 0, 0);
+  private long elapsedNs;
+
+  VariantResult(int backends, int gateways) {
+    this.backends = backends;
+    this.gateways = gateways;
+  }
+
+  void add(Iterable<ServiceResult> results, FleetCounts phase, long phaseNs) {
+    results.forEach(calls::add);
+    counts = counts.plus(phase);
+    elapsedNs += phaseNs;
+  }
+
+  ServiceResult calls() {
+    return calls;
+  }
+
+  FleetCounts counts() {
+    return counts;
+  }
+
+  /** Returns a row for the table of {@link ExperimentReport}. */
+  String[] row(String variant) {
+    double seconds = elapsedNs / NS_PER_S;
+    return new String[] {
+      variant,
+      Long.toString(calls.calls()),
+      percent(calls.notRun(), calls.calls()),
+      Long.toString(calls.mayHaveRun()),
+      Long.toString(calls.connectionFailures() + calls.unreachable() + calls.wrongBodies()),
+      decimal(calls.totalMs(50)),
+      decimal(calls.totalMs(99)),
+      decimal(calls.totalMs(99.9)),
+      decimal(calls.waitMs(99)),
+      decimal(calls.addedMs(99)),
+      percent(counts.overSlots(), counts.calls()),
+      Long.toString(counts.overCold()),
+      Long.toString(counts.overColdLate()),
+      Long.toString(counts.afterMark()),
+      decimal(counts.probes() / seconds / backends),
+      Long.toString(Math.round(counts.controlBytes() / seconds / gateways)),
+      percent(Math.round(counts.controlCpuNs() / (double) gateways), elapsedNs),
+      Long.toString(counts.violations())
+    };
+  }
+
+  static String[] head() {
+    return new String[] {
+      "variant",
+      "calls",
+      "not run %",
+      "unknown",
+      "failed",
+      "p50 ms",
+      "p99 ms",
+      "p99.9 ms",
+      "wait p99 ms",
+      "added p99 ms",
+      "over slots %",
+      "over cold",
+      "late cold",
+      "late zone",
+      "probes/s/backend",
+      "control B/s/node",
+      "control cpu %",
+      "violations"
+    };
+  }
+
+  private static String percent(long part, long whole) {
+    return whole == 0 ? "-" : String.format(Locale.ROOT, "%.2f", 100.0 * part / whole);
+  }
+
+  private static String decimal(double value) {
+    return String.format(Locale.ROOT, "%.1f", value);
+  }
+}
--- a/gateway/src/main/java/org/cowslipstair/gateway/GatewayProcess.java
+++ b/gateway/src/main/java/org/cowslipstair/gateway/GatewayProcess.java
@@ -16,6 +16,7 @@
 import org.cowslipstair.adapters.http.CallerServerSettings;
 import org.cowslipstair.adapters.http.OkHttpBackendProbe;
 import org.cowslipstair.adapters.http.OkHttpBackendTransport;
+import org.cowslipstair.adapters.peer.PeerTraffic;
 import org.cowslipstair.adapters.peer.PeerTransportSettings;
 import org.cowslipstair.adapters.peer.TcpPeerTransport;
 import org.cowslipstair.adapters.platform.HttpPlatformStore;
@@ -140,6 +141,11 @@
     return runtime;
   }
 
+  /** Returns the traffic with all other gateways. */
+  public PeerTraffic peerTraffic() {
+    return peers.traffic();
+  }
+
   /** Returns the whole state. */
   public GatewayState state() {
     try {
--- a/lib/src/main/java/org/cowslipstair/runtime/GatewayRuntime.java
+++ b/lib/src/main/java/org/cowslipstair/runtime/GatewayRuntime.java
@@ -186,6 +186,11 @@
     return membership.view().members().size();
   }
 
+  /** Returns the processor time of the control thread in nanoseconds. */
+  public long controlCpuTimeNs() {
+    return loop.cpuTimeNs();
+  }
+
   MembershipRuntime membership() {
     return membership;
   }
