Test bad input, streaming, slow callers and graceful stop

75 malformed or unwanted requests get a 4xx or 505 problem and reach no backend; the tests found a transfer coding and a foreign scheme passed on, both refused now.

--- a/adapters/src/main/java/org/cowslipstair/adapters/http/BadRequestException.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/http/BadRequestException.java
@@ -25,6 +25,7 @@
     TIMEOUT(400, "Request-Timeout-Ms must be a whole number of milliseconds above 0"),
     BODY_NOT_ALLOWED(400, "this method takes no body"),
     BODY_BROKEN(400, "request body broke off or is malformed"),
+    TRANSFER_CODING(400, "the only transfer coding is chunked"),
     METHOD(405, "method is not supported"),
     BODY_TIMEOUT(408, "request body arrived too slowly"),
     BODY_TOO_LARGE(413, "request body is too large"),
--- a/adapters/src/main/java/org/cowslipstair/adapters/http/CallReader.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/http/CallReader.java
@@ -26,6 +26,7 @@
 final class CallReader {
   private static final Set<String> METHODS =
       Set.of("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS");
+  private static final Set<String> SCHEMES = Set.of("http", "https");
   private static final Set<String> METHODS_WITHOUT_BODY = Set.of("GET", "HEAD");
   private static final Set<String> NOT_PASSED_ON =
       Set.of("content-length", "expect", "trailer", "backend-not-run", "request-timeout-ms");
@@ -61,6 +62,7 @@
       throws BadRequestException {
     long arrivedNs = clock.nowNs();
     checkProtocol(request);
+    checkCoding(request);
     String target = target(request);
     String host = host(request);
     List<HeaderField> received = received(request);
@@ -91,11 +93,25 @@
     }
   }
 
+  private static void checkCoding(Request request) throws BadRequestException {
+    List<HttpField> codings = request.getHeaders().getFields("Transfer-Encoding");
+    if (codings.isEmpty()) {
+      return;
+    }
+    if (codings.size() > 1 || !"chunked".equalsIgnoreCase(codings.getFirst().getValue())) {
+      throw new BadRequestException(Fault.TRANSFER_CODING);
+    }
+  }
+
   private static String target(Request request) throws BadRequestException {
     String target = request.getHttpURI().getPathQuery();
     if (target == null || !target.startsWith("/") || !HeaderRules.isAscii(target)) {
       throw new BadRequestException(Fault.TARGET);
     }
+    String scheme = request.getHttpURI().getScheme();
+    if (scheme != null && !SCHEMES.contains(scheme)) {
+      throw new BadRequestException(Fault.TARGET);
+    }
     if (DOT_SEGMENT.matcher(pathOf(target)).find()) {
       throw new BadRequestException(Fault.TARGET);
     }
--- a/adapters/src/main/java/org/cowslipstair/adapters/http/CallerServer.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/http/CallerServer.java
@@ -11,6 +11,8 @@
 import org.cowslipstair.logic.call.CallHandler;
 import org.cowslipstair.port.MonotonicClock;
 import org.eclipse.jetty.http.UriCompliance;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.IdleTimeout;
 import org.eclipse.jetty.server.Connector;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
@@ -23,6 +25,7 @@
   private static final int MAX_PLATFORM_THREADS = 32;
   private static final int MIN_PLATFORM_THREADS = 4;
   private static final long POLL_NS = 2_000_000;
+  private static final long QUIET_MS = 100;
 
   /** The backend server, not the gateway, says what an encoded separator in a path means. */
   private static final UriCompliance PASSED_ON_AS_SENT =
@@ -39,6 +42,7 @@
   private final Javalin javalin;
   private final AtomicInteger inProgress = new AtomicInteger();
   private volatile boolean stopping;
+  private volatile int port;
 
   /**
    * Creates a server that does not listen yet.
@@ -106,12 +110,13 @@
   /** Starts to listen and returns the port. */
   public int start() {
     javalin.start();
-    return port();
+    port = connector().getLocalPort();
+    return port;
   }
 
   /** Returns the port that the server listens on. */
   public int port() {
-    return connector().getLocalPort();
+    return port;
   }
 
   private ServerConnector connector() {
@@ -129,14 +134,15 @@
   }
 
   /**
-   * Closes the listening socket and waits for the requests in progress.
+   * Closes the listening socket and waits until no request is in progress and no connection has
+   * moved for a moment, so that a request that is just arriving is served too.
    *
-   * @return whether all of them ended before the deadline
+   * @return whether that was so before the deadline
    */
   public boolean drain(long deadlineNs) throws InterruptedException {
     stopping = true;
     connector().close();
-    while (inProgress.get() > 0) {
+    while (!isQuiet()) {
       if (clock.nowNs() - deadlineNs >= 0) {
         return false;
       }
@@ -148,6 +154,18 @@
     return true;
   }
 
+  private boolean isQuiet() {
+    if (inProgress.get() > 0) {
+      return false;
+    }
+    for (EndPoint connection : connector().getConnectedEndPoints()) {
+      if (connection instanceof IdleTimeout moving && moving.getIdleFor() < QUIET_MS) {
+        return false;
+      }
+    }
+    return inProgress.get() == 0;
+  }
+
   @Override
   public void close() {
     javalin.stop();
--- a/adapters/src/test/java/org/cowslipstair/adapters/http/RawCaller.java
+++ b/adapters/src/test/java/org/cowslipstair/adapters/http/RawCaller.java
@@ -93,6 +93,18 @@
     return new Answer(status, headers, body, List.of());
   }
 
+  /** Reads until a text has passed. */
+  void readUntil(String text) throws IOException {
+    StringBuilder seen = new StringBuilder();
+    while (seen.indexOf(text) < 0) {
+      int b = in.read();
+      if (b < 0) {
+        throw new EOFException("connection closed after " + seen);
+      }
+      seen.append((char) b);
+    }
+  }
+
   /** Returns whether the connection is closed without another byte. */
   boolean isAtEnd() throws IOException {
     try {
