Wait in two zones' queues at once, and keep leases while slots are free

Cause: with 14 backends over 3 zones at 85% of the slots, one zone is near its limit. Change: a call refused at home waits in the home queue and in that of the zone with most free slots; the first grant cancels the other wait.

--- a/lib/src/main/java/org/cowslipstair/logic/broker/BrokerCore.java
+++ b/lib/src/main/java/org/cowslipstair/logic/broker/BrokerCore.java
@@ -223,11 +223,7 @@
       return Optional.of(RefuseReason.NO_BACKEND);
     }
     RefuseReason full = recovery.isComplete() ? RefuseReason.FULL : RefuseReason.RECOVERING;
-    boolean spills = acquire.whenFull() == WhenFull.SPILL_OR_WAIT && isFreeElsewhere();
-    if (acquire.whenFull() == WhenFull.REFUSE || spills) {
-      return Optional.of(full);
-    }
-    if (queue.size() >= settings.queueCapacity()) {
+    if (acquire.whenFull() == WhenFull.REFUSE || queue.size() >= settings.queueCapacity()) {
       return Optional.of(full);
     }
     long deadlineNs = nowNs + acquire.remainingNs();
@@ -236,10 +232,6 @@
     return tooLong ? Optional.of(RefuseReason.WAIT_TOO_LONG) : Optional.empty();
   }
 
-  private boolean isFreeElsewhere() {
-    return elsewhere.stream().anyMatch(zone -> zone.free() > 0);
-  }
-
   private void onCancel(LeaseKey key, long nowNs) {
     queue.remove(key);
     leases.release(key, CallReport.unused(), nowNs);
--- a/lib/src/main/java/org/cowslipstair/logic/lessee/LesseeCore.java
+++ b/lib/src/main/java/org/cowslipstair/logic/lessee/LesseeCore.java
@@ -1,6 +1,7 @@
 package org.cowslipstair.logic.lessee;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -27,6 +28,7 @@
 import org.cowslipstair.model.peer.LeaseMessage.HeldRequest;
 import org.cowslipstair.model.peer.LeaseMessage.Recall;
 import org.cowslipstair.model.peer.LeaseMessage.Refuse;
+import org.cowslipstair.model.peer.LeaseMessage.RefuseReason;
 import org.cowslipstair.model.peer.LeaseMessage.Release;
 import org.cowslipstair.model.peer.LeaseMessage.Reuse;
 import org.cowslipstair.model.peer.LeaseMessage.WhenFull;
@@ -40,6 +42,9 @@
  * those of other zones, else, without a broker, from the slots that this gateway owns.
  */
 public final class LesseeCore {
+  /** Multiplier that spreads successive calls over pools that look alike. */
+  private static final long SPREAD = 0x9E3779B97F4A7C15L;
+
   private final ZoneName homeZone;
   private final LesseeSettings settings;
   private final IdleLeases idle;
@@ -63,8 +68,8 @@
   /** Takes a new configuration. */
   public List<LesseeAction> onSnapshot(ConfigSnapshot newSnapshot, long nowNs) {
     snapshot = newSnapshot;
-    pools.values().forEach(PoolLessee::forgetOwnedSlots);
     updateBrokers(nowNs);
+    pools.forEach((pool, lessee) -> lessee.configure(snapshot.members(pool)));
     return drain();
   }
 
@@ -98,6 +103,7 @@
     for (long callId : givenUp) {
       WaitingCall call = calls.get(callId);
       if (call != null) {
+        pools.values().forEach(lessee -> lessee.cancel(callId));
         call.retryAt(nowNs);
         route(call, nowNs);
       }
@@ -142,45 +148,59 @@
       refuse(call, NotRunReason.DEADLINE_TOO_CLOSE);
       return;
     }
-    List<PoolId> candidates = candidates(request);
+    List<PoolId> candidates = candidates(call);
     if (candidates.isEmpty()) {
       refuse(call, NotRunReason.NO_BACKEND);
       return;
     }
+    if (candidates.size() == 1 && !request.freeSlotOnly()) {
+      waitInQueues(call, candidates, nowNs);
+      return;
+    }
     PoolId base = candidates.getFirst();
-    if (!call.hasTried(base)) {
-      WhenFull whenFull = request.freeSlotOnly() ? WhenFull.REFUSE : WhenFull.SPILL_OR_WAIT;
-      if (tryPool(base, call, whenFull, nowNs)) {
-        return;
-      }
+    if (!call.hasTried(base) && tryPool(base, call, nowNs)) {
+      return;
+    }
+    if (!request.freeSlotOnly()) {
+      waitInQueues(call, candidates, nowNs);
+      return;
     }
     for (PoolId other : candidates) {
       boolean worthTrying = !call.hasTried(other) && free.getOrDefault(other, 0) > 0;
-      if (worthTrying && tryPool(other, call, WhenFull.REFUSE, nowNs)) {
-        counters.spilled();
+      if (worthTrying && tryPool(other, call, nowNs)) {
         return;
       }
     }
-    waitOrRefuse(call, base, nowNs);
+    refuse(call, NotRunReason.NO_FREE_SLOT);
   }
 
-  private void waitOrRefuse(WaitingCall call, PoolId base, long nowNs) {
-    if (call.request().freeSlotOnly()) {
-      refuse(call, NotRunReason.NO_FREE_SLOT);
-      return;
+  /** Waits in the queues of several pools; the first grant ends the waits in the others. */
+  private void waitInQueues(WaitingCall call, List<PoolId> candidates, long nowNs) {
+    AdmissionRequest request = call.request();
+    int waits = 0;
+    for (PoolId pool : candidates) {
+      PoolLessee lessee = pools.get(pool);
+      boolean waitsHere = lessee != null && lessee.isReachable() && waits < settings.mostWaits();
+      if (waitsHere) {
+        waits++;
+        call.startWait();
+        lessee.request(call.id(), request.deadlineNs(), WhenFull.WAIT, request.excluded(), nowNs);
+      }
     }
-    PoolLessee lessee = pools.get(base);
-    if (lessee != null && lessee.isReachable()) {
-      AdmissionRequest request = call.request();
-      call.waited();
-      lessee.request(call.id(), request.deadlineNs(), WhenFull.WAIT, request.excluded(), nowNs);
+    if (waits > 0) {
       return;
     }
+    for (PoolId pool : candidates) {
+      if (tryFallback(pool, call, nowNs)) {
+        return;
+      }
+    }
     call.retryAt(nowNs + settings.retryNs());
   }
 
   /** Returns the pools with backend servers that take calls: home first, then most free slots. */
-  private List<PoolId> candidates(AdmissionRequest request) {
+  private List<PoolId> candidates(WaitingCall call) {
+    AdmissionRequest request = call.request();
     List<PoolId> candidates = new ArrayList<>();
     for (PoolId pool : pools.keySet()) {
       if (pool.service().equals(request.service()) && hasBackend(pool, request)) {
@@ -188,13 +208,9 @@
       }
     }
     candidates.sort(
-        (a, b) -> {
-          boolean aHome = a.zone().equals(homeZone);
-          boolean bHome = b.zone().equals(homeZone);
-          return aHome == bHome
-              ? Integer.compare(free.getOrDefault(b, 0), free.getOrDefault(a, 0))
-              : Boolean.compare(bHome, aHome);
-        });
+        Comparator.comparing((PoolId pool) -> !pool.zone().equals(homeZone))
+            .thenComparing(pool -> -free.getOrDefault(pool, 0))
+            .thenComparing(pool -> Long.hashCode((pool.hashCode() + call.id()) * SPREAD)));
     return candidates;
   }
 
@@ -208,17 +224,23 @@
     return false;
   }
 
-  private boolean tryPool(PoolId pool, WaitingCall call, WhenFull whenFull, long nowNs) {
+  private boolean tryPool(PoolId pool, WaitingCall call, long nowNs) {
     call.tried(pool);
     PoolLessee lessee = pools.get(pool);
-    if (lessee == null) {
-      return false;
+    if (lessee == null || !lessee.isReachable()) {
+      return tryFallback(pool, call, nowNs);
     }
     AdmissionRequest request = call.request();
-    if (lessee.isReachable()) {
-      lessee.request(call.id(), request.deadlineNs(), whenFull, request.excluded(), nowNs);
-      return true;
+    lessee.request(call.id(), request.deadlineNs(), WhenFull.REFUSE, request.excluded(), nowNs);
+    return true;
+  }
+
+  private boolean tryFallback(PoolId pool, WaitingCall call, long nowNs) {
+    PoolLessee lessee = pools.get(pool);
+    if (lessee == null || lessee.isReachable()) {
+      return false;
     }
+    AdmissionRequest request = call.request();
     List<BackendServer> taking = new ArrayList<>(snapshot.members(pool));
     taking.removeIf(member -> !snapshot.takesNewCalls(member.name()));
     Optional<Lease> lease =
@@ -286,13 +308,19 @@
 
   private void onGrant(GatewayId from, PoolLessee lessee, Grant grant, long nowNs) {
     free.put(grant.pool(), grant.free());
-    int before = actions.size();
-    lessee.onGrant(from, grant, nowNs);
-    for (LesseeAction action : actions.subList(before, actions.size())) {
-      if (action instanceof LesseeAction.Admitted(long callId, Lease _)) {
-        calls.remove(callId);
-      }
+    Optional<LesseeAction.Admitted> admitted = lessee.onGrant(from, grant, nowNs);
+    if (admitted.isEmpty()) {
+      return;
     }
+    long callId = admitted.get().callId();
+    WaitingCall call = calls.remove(callId);
+    if (call != null && call.isQueued()) {
+      pools.values().forEach(other -> other.cancel(callId));
+    }
+    if (!grant.pool().zone().equals(homeZone)) {
+      counters.spilled();
+    }
+    actions.add(admitted.get());
   }
 
   private void onRefuse(GatewayId from, PoolLessee lessee, Refuse refuse, long nowNs) {
@@ -301,26 +329,19 @@
     }
     free.put(refuse.pool(), 0);
     WaitingCall call = lessee.onRefuse(from, refuse.requestNumber()).map(calls::get).orElse(null);
-    if (call == null) {
+    if (call == null || (call.isQueued() && !call.endWait())) {
       return;
     }
-    switch (refuse.reason()) {
-      case FULL, RECOVERING -> refused(call, NotRunReason.NO_FREE_SLOT, nowNs);
-      case NO_BACKEND -> refused(call, NotRunReason.NO_BACKEND, nowNs);
-      case NOT_BROKER -> call.retryAt(nowNs + settings.retryNs());
-      case WAIT_TOO_LONG -> refuse(call, NotRunReason.NO_FREE_SLOT);
-      default -> throw new IllegalStateException("unknown reason " + refuse.reason());
+    boolean noBackend = refuse.reason() == RefuseReason.NO_BACKEND;
+    if (refuse.reason() == RefuseReason.NOT_BROKER) {
+      call.retryAt(nowNs + settings.retryNs());
+    } else if (call.hasWaited()) {
+      refuse(call, noBackend ? NotRunReason.NO_BACKEND : NotRunReason.NO_FREE_SLOT);
+    } else {
+      route(call, nowNs);
     }
   }
 
-  private void refused(WaitingCall call, NotRunReason lastReason, long nowNs) {
-    if (call.hasWaited()) {
-      refuse(call, lastReason);
-      return;
-    }
-    route(call, nowNs);
-  }
-
   /** Forgets what may have changed during a pause of the process: no lease starts a call. */
   public List<LesseeAction> afterPause(long nowNs) {
     pools.values().forEach(lessee -> lessee.afterPause(nowNs));
--- a/lib/src/main/java/org/cowslipstair/logic/lessee/LingerPolicy.java
+++ b/lib/src/main/java/org/cowslipstair/logic/lessee/LingerPolicy.java
@@ -11,6 +11,7 @@
   private long lastCallNs;
   private boolean anyCall;
   private int free;
+  private int slots;
   private long quietUntilNs = Long.MIN_VALUE;
 
   LingerPolicy(LesseeSettings settings) {
@@ -32,6 +33,11 @@
     free = slots;
   }
 
+  /** Takes the number of slots of the pool. */
+  void slots(int total) {
+    slots = total;
+  }
+
   /** Takes note that the broker wants idle leases back. */
   void recalled(long nowNs) {
     quietUntilNs = nowNs + settings.recallQuietNs();
@@ -40,7 +46,8 @@
   /** Returns how long a lease that becomes idle now is kept. */
   long lingerNs(long nowNs) {
     boolean unlikely = meanIntervalNs > settings.longestLingerNs();
-    if (free <= 0 || unlikely || nowNs < quietUntilNs) {
+    boolean scarce = free <= 0 || free < settings.lingerFreeShare() * slots;
+    if (scarce || unlikely || nowNs < quietUntilNs) {
       return 0;
     }
     long wantedNs = (long) (settings.lingerIntervals() * meanIntervalNs);
--- a/lib/src/main/java/org/cowslipstair/logic/lessee/PoolLessee.java
+++ b/lib/src/main/java/org/cowslipstair/logic/lessee/PoolLessee.java
@@ -183,25 +183,25 @@
   }
 
   /** Takes a grant; one that nobody waits for goes back unused. */
-  void onGrant(GatewayId from, Grant grant, long nowNs) {
+  Optional<LesseeAction.Admitted> onGrant(GatewayId from, Grant grant, long nowNs) {
     linger.free(grant.free());
     fallback.news(grant.backend(), grant.warm(), nowNs);
     if (leases.containsKey(grant.requestNumber())) {
-      return;
+      return Optional.empty();
     }
     Pending request = isBroker(from) ? pending.remove(grant.requestNumber()) : null;
     if (request == null) {
       counters.grantedLate();
       Release unused = new Release(pool, grant.requestNumber(), CallReport.unused());
       actions.add(new LesseeAction.Send(from, unused));
-      return;
+      return Optional.empty();
     }
     long expiresAtNs = request.sentAtNs + grant.validNs();
     Lease lease = new Lease(pool, grant.requestNumber(), grant.backend(), expiresAtNs, broker);
     leases.put(lease.requestNumber(), lease);
     counters.granted();
     updateLinger(nowNs);
-    actions.add(new LesseeAction.Admitted(request.callId, lease));
+    return Optional.of(new LesseeAction.Admitted(request.callId, lease));
   }
 
   /** Takes a refusal; returns the call that was refused. */
@@ -294,8 +294,14 @@
     }
   }
 
-  void forgetOwnedSlots() {
+  /** Takes a new configuration. */
+  void configure(List<BackendServer> members) {
     fallback.forgetOwned();
+    int slots = 0;
+    for (BackendServer member : members) {
+      slots += member.slots();
+    }
+    linger.slots(slots);
   }
 
   /** Gives back leases that were idle for long enough, and repeats acquires without answer. */
--- a/lib/src/main/java/org/cowslipstair/logic/lessee/WaitingCall.java
+++ b/lib/src/main/java/org/cowslipstair/logic/lessee/WaitingCall.java
@@ -12,6 +12,7 @@
   private final Set<PoolId> tried = new HashSet<>();
   private long retryAtNs = Long.MAX_VALUE;
   private boolean waited;
+  private int openWaits;
 
   WaitingCall(long id, AdmissionRequest request) {
     this.id = id;
@@ -30,13 +31,25 @@
     return tried.contains(pool);
   }
 
-  /** Returns whether the call has asked to wait in a queue. */
+  /** Returns whether the call has waited in a queue since it last started to look. */
   boolean hasWaited() {
     return waited;
   }
 
-  void waited() {
+  /** Returns whether the call waits in queues. */
+  boolean isQueued() {
+    return openWaits > 0;
+  }
+
+  void startWait() {
     waited = true;
+    openWaits++;
+  }
+
+  /** Takes note that one queue refused the call; returns whether that was the last one. */
+  boolean endWait() {
+    openWaits--;
+    return openWaits == 0;
   }
 
   void tried(PoolId pool) {
@@ -47,6 +60,7 @@
   void retryAt(long atNs) {
     tried.clear();
     waited = false;
+    openWaits = 0;
     retryAtNs = atNs;
   }
 
--- a/lib/src/main/java/org/cowslipstair/runtime/lease/LeaseRuntime.java
+++ b/lib/src/main/java/org/cowslipstair/runtime/lease/LeaseRuntime.java
@@ -58,9 +58,7 @@
   private final GatewayId self;
   private final MonotonicClock clock;
   private final Executor controlLoop;
-  private final Supplier<ConfigSnapshot> snapshot;
-  private final BiConsumer<GatewayName, LeaseMessage> send;
-  private final Consumer<BackendServer> requestProbe;
+  private final Ports ports;
   private final BrokerSet brokers;
   private final LesseeCore lessee;
   private final IdleLeases idle = new IdleLeases();
@@ -72,6 +70,12 @@
   private boolean dispatching;
   private volatile long lastTurnNs;
 
+  /** What the runtime reads and calls. */
+  record Ports(
+      Supplier<ConfigSnapshot> snapshot,
+      BiConsumer<GatewayName, LeaseMessage> send,
+      Consumer<BackendServer> requestProbe) {}
+
   /**
    * Creates the runtime of a gateway that knows no other.
    *
@@ -90,15 +94,34 @@
       Supplier<ConfigSnapshot> snapshot,
       BiConsumer<GatewayName, LeaseMessage> send,
       Consumer<BackendServer> requestProbe) {
+    this(
+        self,
+        zone,
+        clock,
+        controlLoop,
+        random,
+        monitor,
+        new Ports(snapshot, send, requestProbe),
+        LesseeSettings.defaults());
+  }
+
+  /** Creates a runtime with other settings of the lessee. */
+  LeaseRuntime(
+      GatewayId self,
+      ZoneName zone,
+      MonotonicClock clock,
+      Executor controlLoop,
+      RandomGenerator random,
+      InvariantMonitor monitor,
+      Ports ports,
+      LesseeSettings settings) {
     this.self = self;
     this.clock = clock;
     this.controlLoop = controlLoop;
-    this.snapshot = snapshot;
-    this.send = send;
-    this.requestProbe = requestProbe;
+    this.ports = ports;
     view = new FleetView(0, self, List.of(), false);
     brokers = new BrokerSet(self, random, monitor);
-    lessee = new LesseeCore(zone, LesseeSettings.defaults(), idle, view);
+    lessee = new LesseeCore(zone, settings, idle, view);
     lastTurnNs = clock.nowNs();
     nextOwnFreeNs = lastTurnNs;
   }
@@ -123,7 +146,7 @@
   public void onView(FleetView newView) {
     view = stopping ? withoutOwnTerms(newView) : newView;
     long nowNs = clock.nowNs();
-    applyBroker(brokers.onView(view, snapshot.get(), nowNs));
+    applyBroker(brokers.onView(view, ports.snapshot().get(), nowNs));
     apply(lessee.onView(view, nowNs));
   }
 
@@ -272,7 +295,7 @@
       switch (action) {
         case BrokerAction.Send(GatewayId to, LeaseMessage message) -> dispatch(to, message);
         case BrokerAction.Probe(BackendName backend) ->
-            snapshot.get().backend(backend).ifPresent(requestProbe);
+            ports.snapshot().get().backend(backend).ifPresent(ports.requestProbe());
       }
     }
     deliverToSelf();
@@ -283,7 +306,7 @@
       toSelf.add(message);
       return;
     }
-    send.accept(to.name(), message);
+    ports.send().accept(to.name(), message);
   }
 
   private void deliverToSelf() {
@@ -304,7 +327,7 @@
     long nowNs = clock.nowNs();
     switch (message) {
       case Acquire _, CancelAcquire _, Release _, Reuse _, Held _, HandOver _ ->
-          applyBroker(brokers.onMessage(from, message, snapshot.get(), nowNs));
+          applyBroker(brokers.onMessage(from, message, ports.snapshot().get(), nowNs));
       case Grant _, Refuse _, Recall _, Withdraw _, HeldRequest _ ->
           apply(lessee.onMessage(from, message, nowNs));
     }
