Ask an only backend again, and clean up attempts without a timer

Cause: an idempotent call of a pool with one backend server was not sent again after a lost connection, for the server was excluded; a call not sent because its deadline passed counted as a failure of the server; nothing swept attempts. Conclusion: no part of the guard depends on the runtime to call it.

--- a/lib/src/main/java/org/cowslipstair/logic/attempt/AttemptGuard.java
+++ b/lib/src/main/java/org/cowslipstair/logic/attempt/AttemptGuard.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.cowslipstair.logic.attempt.AttemptStart.Begun;
 import org.cowslipstair.logic.attempt.AttemptStart.Refused;
@@ -36,6 +37,8 @@
   private final Supplier<String> changeIds;
   private final RateCap rateCap;
   private final BlockingQueue<Leftover> leftovers;
+  private final AtomicLong leftoversRetryAtNs = new AtomicLong(Long.MIN_VALUE);
+  private final AtomicLong keysTaken = new AtomicLong();
 
   /**
    * Creates a guard.
@@ -85,6 +88,7 @@
     AttemptWriter writer = new AttemptWriter(store, wallClock, key, json, changeIds.get());
     CompletableFuture<AttemptStart> started = new CompletableFuture<>();
     storeThreads.execute(() -> write(writer, key, started));
+    maintain();
     return await(started, waitNs);
   }
 
@@ -93,27 +97,53 @@
     storeThreads.execute(() -> remove(new Leftover(attempt.key(), attempt.changeId())));
   }
 
+  /** Starts the clean-up that is due; cheap when there is none. Does not block. */
+  public void maintain() {
+    long nowNs = clock.nowNs();
+    long retryAtNs = leftoversRetryAtNs.get();
+    boolean retryDue = !leftovers.isEmpty() && nowNs >= retryAtNs;
+    if (retryDue
+        && leftoversRetryAtNs.compareAndSet(retryAtNs, nowNs + settings.pendingRetryNs())) {
+      storeThreads.execute(this::retryLeftovers);
+    }
+  }
+
   /**
-   * Removes attempts whose call surely did not run, then expired ones. Makes one list call and a
-   * bounded number of deletes; one gateway of the fleet at a time does it.
+   * Removes expired attempts. Makes one list call and a bounded number of deletes. Gateways that
+   * sweep at the same time do each other no harm.
    *
-   * @return number of expired attempts that were removed
+   * @return number of attempts that were removed
    */
   public int sweep() throws StoreException {
-    retryLeftovers();
     int removed = 0;
     for (StoredObject attempt : store.list(Set.of(ObjectKind.ATTEMPT)).objects()) {
       if (removed >= settings.maxDeletesPerSweep()) {
         break;
       }
-      if (AttemptBody.isExpired(attempt, wallClock.millis())) {
-        store.delete(attempt.key(), attempt.version(), changeIds.get());
+      if (AttemptBody.isExpired(attempt, wallClock.millis()) && delete(attempt)) {
         removed++;
       }
     }
     return removed;
   }
 
+  private boolean delete(StoredObject attempt) throws StoreException {
+    try {
+      store.delete(attempt.key(), attempt.version(), changeIds.get());
+      return true;
+    } catch (StoreException.VersionConflict ignored) {
+      return false;
+    }
+  }
+
+  private void sweepQuietly() {
+    try {
+      sweep();
+    } catch (StoreException ignored) {
+      // Expired attempts do no harm; the next sweep removes them.
+    }
+  }
+
   /** Removes attempts of this gateway that could not be removed when their call was refused. */
   public void retryLeftovers() {
     int count = leftovers.size();
@@ -134,6 +164,9 @@
       case Refused _ when writer.mayBeWritten() -> remove(new Leftover(key, writer.changeId()));
       case Begun _, Refused _ -> {}
     }
+    if (keysTaken.incrementAndGet() % settings.keysPerSweep() == 0) {
+      sweepQuietly();
+    }
   }
 
   private AttemptStart await(CompletableFuture<AttemptStart> started, long waitNs)
@@ -163,6 +196,7 @@
     } catch (StoreException.VersionConflict ignored) {
       // The key has another owner or none.
     } catch (StoreException ignored) {
+      leftoversRetryAtNs.set(clock.nowNs() + settings.pendingRetryNs());
       leftovers.offer(leftover);
     }
   }
--- a/lib/src/main/java/org/cowslipstair/logic/attempt/AttemptSettings.java
+++ b/lib/src/main/java/org/cowslipstair/logic/attempt/AttemptSettings.java
@@ -9,6 +9,8 @@
  * @param maxStoreCalls most calls to the store for one key
  * @param sendReserveNs part of a call's time that is left for the call itself
  * @param maxPending most releases that wait for the store
+ * @param pendingRetryNs shortest time between two tries of those releases
+ * @param keysPerSweep keys that this gateway takes between two sweeps
  * @param maxDeletesPerSweep most expired attempts that one sweep removes
  */
 public record AttemptSettings(
@@ -18,12 +20,15 @@
     int maxStoreCalls,
     long sendReserveNs,
     int maxPending,
+    long pendingRetryNs,
+    int keysPerSweep,
     int maxDeletesPerSweep) {
   private static final long MS_PER_DAY = 24 * 60 * 60 * 1_000L;
   private static final long NS_PER_MS = 1_000_000L;
 
   /** Returns the settings used where operators set nothing. */
   public static AttemptSettings defaults() {
-    return new AttemptSettings(MS_PER_DAY, 50, 100, 6, 20 * NS_PER_MS, 1_000, 200);
+    return new AttemptSettings(
+        MS_PER_DAY, 50, 100, 6, 20 * NS_PER_MS, 1_000, 1_000 * NS_PER_MS, 500, 1_000);
   }
 }
--- a/lib/src/main/java/org/cowslipstair/logic/call/AttemptRunner.java
+++ b/lib/src/main/java/org/cowslipstair/logic/call/AttemptRunner.java
@@ -112,7 +112,8 @@
     BackendName backend = slot.permit().backend().name();
     return switch (failure) {
       case BackendException.NotSent _ -> {
-        slot.release(CallEnd.FAILED);
+        boolean late = ports.clock().nowNs() >= slot.call().deadlineNs();
+        slot.release(late ? CallEnd.TIMED_OUT : CallEnd.FAILED);
         decided(slot.call(), new CallDecision.NotSent(backend, slot.attempt()));
         yield new AttemptOutcome.NotSent(backend);
       }
--- a/lib/src/main/java/org/cowslipstair/logic/call/CallProgress.java
+++ b/lib/src/main/java/org/cowslipstair/logic/call/CallProgress.java
@@ -23,6 +23,7 @@
   private int sends;
   private int sendsThatMayRun;
   private int unusedSlots;
+  private boolean exclusionsDropped;
   private Optional<MayHaveRunReason> mayHaveRunReason = Optional.empty();
   private NotRunReason notRunReason = NotRunReason.NO_FREE_SLOT;
 
@@ -73,10 +74,7 @@
     return switch (outcome) {
       case AttemptOutcome.Answered _, AttemptOutcome.Cancelled _ -> Next.STOP;
       case AttemptOutcome.NotAdmitted(NotRunReason reason) -> {
-        if (sends == 0) {
-          notRunReason = reason;
-        }
-        yield Next.STOP;
+        yield notAdmitted(reason);
       }
       case AttemptOutcome.NotStarted(BackendName backend) -> {
         excluded.add(backend);
@@ -124,6 +122,20 @@
     return bodyIntact ? retry() : Next.STOP;
   }
 
+  /** Lets the call return to a backend server that failed it when there is no other. */
+  private Next notAdmitted(NotRunReason reason) {
+    boolean allFailed = reason == NotRunReason.NO_BACKEND && sends > 0;
+    if (allFailed && !exclusionsDropped) {
+      exclusionsDropped = true;
+      excluded.clear();
+      return Next.ADMIT_AGAIN;
+    }
+    if (sends == 0) {
+      notRunReason = reason;
+    }
+    return Next.STOP;
+  }
+
   private Next retry() {
     return sends < maxAttempts ? Next.RETRY : Next.STOP;
   }
--- a/lib/src/test/java/org/cowslipstair/logic/attempt/AttemptGuardTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/attempt/AttemptGuardTest.java
@@ -70,7 +70,11 @@
     faults(Fault.LOST_AFTER_WRITE, Fault.UNAVAILABLE, Fault.UNAVAILABLE);
     assertThat(begin(one, "k"), is(new Refused(NotRunReason.STORE_UNAVAILABLE)));
     assertThat(store.size(), is(1));
-    one.retryLeftovers();
+    one.maintain();
+    assertThat("retried too early", store.size(), is(1));
+    nowNs.addAndGet(AttemptSettings.defaults().pendingRetryNs());
+    one.maintain();
+    assertThat(store.size(), is(0));
     assertThat(begin(other, "k"), instanceOf(Begun.class));
   }
 
@@ -108,6 +112,19 @@
     assertThat(begin(one, "old-0"), is(new Refused(NotRunReason.DUPLICATE_KEY)));
   }
 
+  @Test
+  void gatewayThatTakesKeysSweepsByItself() throws Exception {
+    int keysPerSweep = AttemptSettings.defaults().keysPerSweep();
+    for (int i = 0; i < keysPerSweep; i++) {
+      if (i == keysPerSweep - 1) {
+        wallClockMs.addAndGet(AttemptSettings.defaults().keptMs());
+      }
+      nowNs.addAndGet(TimeUnit.SECONDS.toNanos(1));
+      assertThat(begin(one, "k" + i), instanceOf(Begun.class));
+    }
+    assertThat(store.size(), is(1));
+  }
+
   @Test
   void refusedWithoutKeyWithoutTimeAndPastTheRate() throws Exception {
     assertThat(
--- a/lib/src/test/java/org/cowslipstair/logic/backend/PoolBackendsTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/backend/PoolBackendsTest.java
@@ -139,7 +139,10 @@
     warmAll();
     start(FIRST);
     for (int i = 0; i < 40; i++) {
-      answer(FIRST, 1);
+      long other = start(FIRST);
+      nowNs += 20 * MS;
+      end(FIRST, other, CallEnd.ANSWERED, 20 * MS);
+      nowNs += 60 * MS;
       pool.tick(nowNs);
     }
     assertThat(pool.limit(FIRST), is(SLOTS));
--- a/lib/src/test/java/org/cowslipstair/logic/call/CallServiceTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/call/CallServiceTest.java
@@ -91,6 +91,15 @@
     assertThat(sends.get(), is(WARM_UP_CALLS + 3));
   }
 
+  @Test
+  void onlyBackendThereIsIsAskedAgain() throws Exception {
+    warmUp();
+    BackendName only = fixture.backends.getFirst().name();
+    fixture.admission.offers = only::equals;
+    behaviour = failingFirst(b -> new BackendException.ConnectionLost(b, new IOException()));
+    assertThat(CallFixture.text(fixture.call("a", "GET")), is("ok"));
+  }
+
   @Test
   void streamThatWasReadIsNotSentAgain() throws Exception {
     warmUp();
--- a/lib/src/test/java/org/cowslipstair/logic/call/FakeAdmission.java
+++ b/lib/src/test/java/org/cowslipstair/logic/call/FakeAdmission.java
@@ -23,6 +23,7 @@
   final Queue<Released> released = new ConcurrentLinkedQueue<>();
   final List<AdmissionRequest> requests = new CopyOnWriteArrayList<>();
   volatile Predicate<AdmissionRequest> refuses = _ -> false;
+  volatile Predicate<BackendName> offers = _ -> true;
   volatile Predicate<BackendName> mayStart = _ -> true;
 
   FakeAdmission(List<BackendServer> backends) {
@@ -40,7 +41,7 @@
     int first = turn.getAndIncrement();
     for (int i = 0; i < backends.size(); i++) {
       BackendServer backend = backends.get(Math.floorMod(first + i, backends.size()));
-      if (!request.excluded().contains(backend.name())) {
+      if (offers.test(backend.name()) && !request.excluded().contains(backend.name())) {
         held.incrementAndGet();
         return new FakePermit(backend);
       }
