Give each backend server a connection pool of its own

OkHttp walks through its whole pool to find a connection, so one pool for all backends costs more with each backend.

--- a/adapters/src/main/java/org/cowslipstair/adapters/http/BackendLimits.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/http/BackendLimits.java
@@ -6,12 +6,12 @@
  * @param connectTimeoutMs longest time to open a connection
  * @param idleConnectionMs time after which an unused connection is closed; shorter than the backend
  *     servers' own idle timeout
- * @param maxIdleConnections most unused connections to all backend servers together
+ * @param maxIdleConnections most unused connections to one backend server
  */
 public record BackendLimits(long connectTimeoutMs, long idleConnectionMs, int maxIdleConnections) {
   private static final long DEFAULT_CONNECT_TIMEOUT_MS = 1_000;
   private static final long DEFAULT_IDLE_CONNECTION_MS = 4_000;
-  private static final int DEFAULT_MAX_IDLE_CONNECTIONS = 4_096;
+  private static final int DEFAULT_MAX_IDLE_CONNECTIONS = 64;
 
   /** Returns the default limits. */
   public static BackendLimits defaults() {
--- a/adapters/src/main/java/org/cowslipstair/adapters/http/OkHttpBackendTransport.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/http/OkHttpBackendTransport.java
@@ -5,18 +5,20 @@
 import java.net.Proxy;
 import java.nio.channels.ClosedByInterruptException;
 import java.util.List;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.ToIntFunction;
 import okhttp3.Authenticator;
 import okhttp3.Call;
-import okhttp3.ConnectionPool;
 import okhttp3.CookieJar;
 import okhttp3.OkHttpClient;
 import okhttp3.Protocol;
 import okhttp3.Request;
 import okhttp3.Response;
 import org.cowslipstair.model.config.BackendServer;
+import org.cowslipstair.model.config.HostPort;
 import org.cowslipstair.port.BackendException;
 import org.cowslipstair.port.BackendTransport;
 import org.cowslipstair.port.MonotonicClock;
@@ -24,7 +26,9 @@
 /** Sends calls to backend servers by OkHttp over HTTP/1.1, with every silent retry off. */
 public final class OkHttpBackendTransport implements BackendTransport, AutoCloseable {
   private final OkHttpClient client;
-  private final ConnectionBounds connections;
+  private final BackendLimits limits;
+  private final ToIntFunction<BackendServer> maxConnections;
+  private final ConcurrentMap<HostPort, BackendConnections> backends = new ConcurrentHashMap<>();
   private final MonotonicClock clock;
 
   /**
@@ -34,7 +38,8 @@
    */
   public OkHttpBackendTransport(
       BackendLimits limits, ToIntFunction<BackendServer> maxConnections, MonotonicClock clock) {
-    this.connections = new ConnectionBounds(maxConnections);
+    this.limits = limits;
+    this.maxConnections = maxConnections;
     this.clock = clock;
     this.client = createClient(limits);
   }
@@ -44,9 +49,6 @@
         .protocols(List.of(Protocol.HTTP_1_1))
         .proxy(Proxy.NO_PROXY)
         .socketFactory(new BackendSocketFactory())
-        .connectionPool(
-            new ConnectionPool(
-                limits.maxIdleConnections(), limits.idleConnectionMs(), TimeUnit.MILLISECONDS))
         .retryOnConnectionFailure(false)
         .fastFallback(false)
         .followRedirects(false)
@@ -66,24 +68,33 @@
   @Override
   public BackendAnswer send(BackendServer backend, BackendCall call)
       throws BackendException, InterruptedException {
+    BackendConnections connections = connectionsTo(backend);
     long waitNs = call.deadlineNs() - clock.nowNs();
-    if (waitNs <= 0 || !connections.acquire(backend, waitNs)) {
+    if (waitNs <= 0 || !connections.acquire(maxConnections.applyAsInt(backend), waitNs)) {
       throw new BackendException.NotSent(backend.name(), new TimeoutException("deadline passed"));
     }
     boolean answered = false;
     try {
-      BackendAnswer answer = sendOverFreshConnection(backend, call);
+      BackendAnswer answer = sendOverFreshConnection(connections, backend, call);
       answered = true;
       return answer;
     } finally {
       if (!answered) {
-        connections.release(backend);
+        connections.release();
       }
     }
   }
 
+  private BackendConnections connectionsTo(BackendServer backend) {
+    BackendConnections known = backends.get(backend.address());
+    return known != null
+        ? known
+        : backends.computeIfAbsent(backend.address(), _ -> new BackendConnections(client, limits));
+  }
+
   /** Tries again only when a pooled connection turned out stale before a byte was sent. */
-  private BackendAnswer sendOverFreshConnection(BackendServer backend, BackendCall call)
+  private BackendAnswer sendOverFreshConnection(
+      BackendConnections connections, BackendServer backend, BackendCall call)
       throws BackendException, InterruptedException {
     while (true) {
       long remainingNs = call.deadlineNs() - clock.nowNs();
@@ -91,11 +102,11 @@
         throw new BackendException.NotSent(backend.name(), new TimeoutException("deadline passed"));
       }
       Request request = createRequest(backend, call, remainingNs);
-      Call exchange = client.newCall(request);
+      Call exchange = connections.client().newCall(request);
       exchange.timeout().timeout(remainingNs, TimeUnit.NANOSECONDS);
       try {
         Response response = exchange.execute();
-        return answer(backend, exchange, response);
+        return answer(connections, exchange, response);
       } catch (StaleConnectionException _) {
         exchange.cancel();
       } catch (IOException e) {
@@ -105,14 +116,14 @@
     }
   }
 
-  private BackendAnswer answer(BackendServer backend, Call exchange, Response response)
-      throws IOException {
+  private static BackendAnswer answer(
+      BackendConnections connections, Call exchange, Response response) throws IOException {
     ExchangeTrace trace = exchange.request().tag(ExchangeTrace.class);
     if (trace == null || trace.answerHead().isEmpty()) {
       throw new IOException("answer without head");
     }
     return new OkHttpBackendAnswer(
-        exchange, response, trace.answerHead().get(), () -> connections.release(backend));
+        exchange, response, trace.answerHead().get(), connections::release);
   }
 
   private static Request createRequest(BackendServer backend, BackendCall call, long remainingNs)
@@ -152,18 +163,24 @@
 
   /** Returns the number of open connections, idle ones included. */
   public int connectionCount() {
-    return client.connectionPool().connectionCount();
+    int count = 0;
+    for (BackendConnections connections : backends.values()) {
+      count += connections.pool().connectionCount();
+    }
+    return count;
   }
 
   /** Closes the connections that no call uses. */
   public void closeIdleConnections() {
-    client.connectionPool().evictAll();
+    for (BackendConnections connections : backends.values()) {
+      connections.pool().evictAll();
+    }
   }
 
   @Override
   public void close() {
     client.dispatcher().cancelAll();
-    client.connectionPool().evictAll();
+    closeIdleConnections();
     client.dispatcher().executorService().shutdown();
   }
 }
--- a/adapters/src/test/java/org/cowslipstair/adapters/http/RawBackend.java
+++ b/adapters/src/test/java/org/cowslipstair/adapters/http/RawBackend.java
@@ -10,6 +10,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -158,15 +159,24 @@
           .ifPresent(id -> runs.computeIfAbsent(id, _ -> new AtomicInteger()).incrementAndGet());
     }
 
-    /** Reads a whole request without running it. */
-    Received peek() throws IOException {
+    /** Reads the head of a request and leaves its body. */
+    Received readHead() throws IOException {
       String requestLine = readLine();
-      List<String> headers = new CopyOnWriteArrayList<>();
+      List<String> headers = new ArrayList<>();
       for (String line = readLine(); !line.isEmpty(); line = readLine()) {
         headers.add(line);
       }
-      Received head = new Received(requestLine, headers, new byte[0]);
-      Received request = new Received(requestLine, headers, readBody(head));
+      return new Received(requestLine, headers, new byte[0]);
+    }
+
+    byte[] readExactly(int count) throws IOException {
+      return in.readNBytes(count);
+    }
+
+    /** Reads a whole request without running it. */
+    Received peek() throws IOException {
+      Received head = readHead();
+      Received request = new Received(head.requestLine(), head.headers(), readBody(head));
       received.add(request);
       return request;
     }
--- a/adapters/src/test/java/org/cowslipstair/adapters/http/RawCaller.java
+++ b/adapters/src/test/java/org/cowslipstair/adapters/http/RawCaller.java
@@ -105,6 +105,10 @@
     }
   }
 
+  byte[] readBytes(int count) throws IOException {
+    return in.readNBytes(count);
+  }
+
   /** Returns whether the connection is closed without another byte. */
   boolean isAtEnd() throws IOException {
     try {
