--- a/adapters/src/main/java/org/cowslipstair/adapters/http/OkHttpBackendAnswer.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/http/OkHttpBackendAnswer.java
@@ -77,6 +77,8 @@
 
   /** Gives the connection back at the end of the body, and closes it after a failure. */
   private final class AnswerBody extends FilterInputStream {
+    private boolean atEnd;
+
     AnswerBody(InputStream in) {
       super(in);
     }
@@ -89,9 +91,13 @@
 
     @Override
     public int read(byte[] bytes, int offset, int length) throws IOException {
+      if (atEnd) {
+        return -1;
+      }
       try {
         int count = super.read(bytes, offset, length);
         if (count < 0) {
+          atEnd = true;
           bodyEnded();
         }
         return count;
--- a/adapters/src/test/java/org/cowslipstair/adapters/http/StreamingTest.java
+++ b/adapters/src/test/java/org/cowslipstair/adapters/http/StreamingTest.java
@@ -76,8 +76,12 @@
   }
 
   private static void awaitQuietly(CountDownLatch latch) throws IOException {
+    awaitQuietly(latch, 60_000);
+  }
+
+  private static void awaitQuietly(CountDownLatch latch, long timeoutMs) throws IOException {
     try {
-      latch.await(60, TimeUnit.SECONDS);
+      latch.await(timeoutMs, TimeUnit.MILLISECONDS);
     } catch (InterruptedException e) {
       throw new IOException(e);
     }
@@ -167,6 +171,24 @@
     }
   }
 
+  /** A caller has nothing to send while it waits, so its silence then is no fault. */
+  @Test
+  void slowAnswerOutlivesTheIdleTimeout() throws Exception {
+    for (String request : new String[] {RawCaller.get("/"), RawCaller.post("/", "r", "body")}) {
+      CountDownLatch never = new CountDownLatch(1);
+      try (RawBackend backend =
+              new RawBackend(
+                  link -> {
+                    link.read();
+                    awaitQuietly(never, 1_000);
+                    link.write(RawBackend.ok("late"));
+                  });
+          Edge edge = new Edge(backend.server(), idle(200))) {
+        assertThat(RawCaller.call(edge.port(), request).text(), is("late"));
+      }
+    }
+  }
+
   @Test
   void silentCallerOfASmallBodyReachesNoBackend() throws Exception {
     try (RawBackend backend = new RawBackend(link -> link.read());
