--- a/lib/src/main/java/org/cowslipstair/logic/call/CallSettings.java
+++ b/lib/src/main/java/org/cowslipstair/logic/call/CallSettings.java
@@ -27,6 +27,6 @@
 
   /** Returns the settings used where operators set nothing. */
   public static CallSettings defaults() {
-    return new CallSettings(3, 0.10, 10, 1, 0.05, 5, 1_000_000L, 64 * 1024, 1_000);
+    return new CallSettings(3, 0.10, 10, 1, 0.05, 5, 1_000_000L, 64 * 1024, 2_000);
   }
 }
