Show pools and problems in the status command

The state of a gateway now exists, so status reads it: calls in progress, pools that have their broker there with limits and busy slots, refused stores, invalid objects and violated promises. The settings file of the command line uses the daemon's key store_addresses.

--- a/cli/src/main/java/org/cowslipstair/cli/CommonOptions.java
+++ b/cli/src/main/java/org/cowslipstair/cli/CommonOptions.java
@@ -13,7 +13,7 @@
       description = "host:port of the platform's store, may be repeated; else COWSLIPSTAIR_STORE")
   private List<String> stores = new ArrayList<>();
 
-  @Parameter(names = "--settings", description = "TOML file with stores = [\"host:port\"]")
+  @Parameter(names = "--settings", description = "TOML file with store_addresses = [\"host:port\"]")
   private @Nullable Path settings;
 
   @Parameter(names = "-o", description = "form of the output")
--- a/cli/src/main/java/org/cowslipstair/cli/GatewayState.java
+++ b/cli/src/main/java/org/cowslipstair/cli/GatewayState.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.MissingNode;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -58,8 +59,41 @@
 
   /** Returns the identity of the store whose configuration is in force. */
   String storeId() {
-    JsonNode storeId = at("/config/storeId");
-    return storeId.isObject() ? storeId.path("value").asText() : storeId.asText();
+    return at("/config/storeId").asText();
+  }
+
+  /** Returns what operators should look at. */
+  List<String> problems(String storeId) {
+    List<String> problems = new ArrayList<>();
+    if (!failure().isEmpty()) {
+      problems.add(failure());
+      return problems;
+    }
+    if (!storeId().equals(storeId)) {
+      problems.add("follows store \"%s\"".formatted(storeId()));
+    }
+    JsonNode refused = at("/config/status/refusedStore");
+    if (refused.isObject()) {
+      problems.add(
+          "refused store %s at revision %s: %s"
+              .formatted(
+                  refused.path("storeId").asText(),
+                  refused.path("revision").asText(),
+                  refused.path("reason").asText()));
+    }
+    if (at("/notReadyBecause").isTextual()) {
+      problems.add("not ready: " + at("/notReadyBecause").asText());
+    }
+    int invalid = at("/config/status/invalidObjects").size();
+    if (invalid > 0) {
+      problems.add("%d invalid objects".formatted(invalid));
+    }
+    for (Map.Entry<String, JsonNode> violation : at("/violations").properties()) {
+      if (violation.getValue().asLong() > 0) {
+        problems.add("violated %s %s times".formatted(violation.getKey(), violation.getValue()));
+      }
+    }
+    return problems;
   }
 
   /** Returns why the state is not known, or an empty text. */
--- a/cli/src/main/java/org/cowslipstair/cli/Printer.java
+++ b/cli/src/main/java/org/cowslipstair/cli/Printer.java
@@ -48,7 +48,7 @@
     rows.forEach(row -> row(row, widths));
   }
 
-  private static ArrayNode toJson(List<String> headers, List<List<String>> rows) {
+  static ArrayNode toJson(List<String> headers, List<List<String>> rows) {
     ArrayNode list = MAPPER.createArrayNode();
     for (List<String> row : rows) {
       ObjectNode object = list.addObject();
--- a/cli/src/main/java/org/cowslipstair/cli/Session.java
+++ b/cli/src/main/java/org/cowslipstair/cli/Session.java
@@ -17,7 +17,7 @@
 final class Session implements AutoCloseable {
   private static final String STORE_VARIABLE = "COWSLIPSTAIR_STORE";
   private static final String ACCEPTED_STORE =
-      "host:port in --store, in COWSLIPSTAIR_STORE, or as stores = [...] in the --settings file";
+      "host:port in --store, in COWSLIPSTAIR_STORE, or as store_addresses = [...] in the --settings file";
 
   private final CommonOptions options;
   private final Printer printer;
@@ -84,7 +84,7 @@
   private static List<HostPort> fromSettings(Path file) throws CliException {
     try {
       TomlDocument document = TomlDocument.read(file);
-      List<HostPort> addresses = document.fields().addresses("stores");
+      List<HostPort> addresses = document.fields().addresses("store_addresses");
       document.requireValid();
       return addresses;
     } catch (IOException | InvalidFileException e) {
--- a/cli/src/main/java/org/cowslipstair/cli/StatusCommand.java
+++ b/cli/src/main/java/org/cowslipstair/cli/StatusCommand.java
@@ -3,15 +3,20 @@
 import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
 import org.cowslipstair.port.PlatformStore.ObjectBatch;
 
-/** Shows for each gateway which configuration it has in force. */
+/** Shows which configuration each gateway has in force, and the pools that have a broker. */
 @Parameters(commandDescription = "show each gateway: version in force, lag, pools, limits")
 final class StatusCommand implements Command {
-  private static final List<String> HEADERS =
-      List.of("gateway", "zone", "state", "revision", "lag", "store", "pools", "problem");
+  private static final List<String> GATEWAY_HEADERS =
+      List.of("gateway", "zone", "state", "revision", "lag", "inProgress", "brokerOf", "problem");
+  private static final List<String> POOL_HEADERS =
+      List.of("pool", "broker", "backends", "warm", "limit", "busy", "waiting");
+  private static final String UNKNOWN = "?";
 
   @ParametersDelegate private final CommonOptions common = new CommonOptions();
 
@@ -23,29 +28,59 @@
   @Override
   public void run(Session session) throws CliException, InterruptedException {
     ObjectBatch stored = session.objects().list();
-    List<List<String>> rows = new ArrayList<>();
+    List<List<String>> gateways = new ArrayList<>();
+    List<List<String>> pools = new ArrayList<>();
     for (GatewayState gateway : GatewayCommand.states(session)) {
-      rows.add(row(gateway, stored));
+      gateways.add(gatewayRow(gateway, stored));
+      gateway.at("/leases/brokers").forEach(broker -> pools.add(poolRow(gateway, broker)));
     }
-    session
-        .printer()
-        .progress("store %s at revision %d".formatted(stored.storeId(), stored.revision()));
-    session.printer().rows(HEADERS, rows);
+    Printer printer = session.printer();
+    if (printer.isJson()) {
+      ObjectNode status = JsonNodeFactory.instance.objectNode();
+      status.put("storeId", stored.storeId().value());
+      status.put("revision", stored.revision());
+      status.set("gateways", Printer.toJson(GATEWAY_HEADERS, gateways));
+      status.set("pools", Printer.toJson(POOL_HEADERS, pools));
+      printer.json(status);
+      return;
+    }
+    printer.line("store %s at revision %d".formatted(stored.storeId(), stored.revision()));
+    printer.rows(GATEWAY_HEADERS, gateways);
+    printer.line("");
+    printer.rows(POOL_HEADERS, pools);
   }
 
-  private static List<String> row(GatewayState gateway, ObjectBatch stored) {
+  private static List<String> gatewayRow(GatewayState gateway, ObjectBatch stored) {
     boolean isKnown = gateway.failure().isEmpty();
     boolean sameStore = gateway.storeId().equals(stored.storeId().value());
     long lag = Math.max(0, stored.revision() - gateway.revision());
-    JsonNode pools = gateway.at("/pools");
     return List.of(
         gateway.name(),
         gateway.instance().zone().value(),
         gateway.instance().leaving() ? "leaving" : "live",
-        isKnown ? Long.toString(gateway.revision()) : "?",
-        isKnown && sameStore ? Long.toString(lag) : "?",
-        isKnown ? (sameStore ? "same" : "other: " + gateway.storeId()) : "?",
-        pools.isMissingNode() ? "?" : Integer.toString(pools.size()),
-        isKnown ? gateway.at("/config/refused").asText("") : gateway.failure());
+        isKnown ? Long.toString(gateway.revision()) : UNKNOWN,
+        isKnown && sameStore ? Long.toString(lag) : UNKNOWN,
+        isKnown ? gateway.at("/callsInProgress").asText(UNKNOWN) : UNKNOWN,
+        isKnown ? Integer.toString(gateway.at("/leases/brokers").size()) : UNKNOWN,
+        String.join("; ", gateway.problems(stored.storeId().value())));
+  }
+
+  private static List<String> poolRow(GatewayState gateway, JsonNode broker) {
+    int warm = 0;
+    int limit = 0;
+    int busy = 0;
+    for (JsonNode backend : broker.path("backends")) {
+      warm += "Warm".equals(backend.at("/state/type").asText()) ? 1 : 0;
+      limit += backend.path("limit").asInt();
+      busy += backend.path("out").asInt();
+    }
+    return List.of(
+        broker.path("pool").asText(),
+        gateway.name(),
+        Integer.toString(broker.path("backends").size()),
+        Integer.toString(warm),
+        Integer.toString(limit),
+        Integer.toString(busy),
+        broker.path("queueLength").asText());
   }
 }
