Refuse waits that end in a timeout, and leave a silent broker's queue

Cause: under overload the queue served calls just before their deadline; each timed out and kept its slot busy for the grace, so the pool lost most of its capacity. A paused broker held calls until their deadline. Change: a call is granted from the queue, or queued, only if three average service times remain. A call whose broker is silent for 20 ms waits in two queues. LeaseRandomRun takes kinds of fault, and checks that a backend that is cold for longer than any call lasts runs one call at a time. Tests: the lease expiry test now has a repeated acquire, which the silence rule moved to the queues; Lease*, Lessee*, Broker* passed.

--- a/lib/src/main/java/org/cowslipstair/logic/broker/BrokerCore.java
+++ b/lib/src/main/java/org/cowslipstair/logic/broker/BrokerCore.java
@@ -228,7 +228,7 @@
     }
     long deadlineNs = nowNs + acquire.remainingNs();
     long waitNs = leases.estimatedWaitNs(queue.ahead(deadlineNs));
-    boolean tooLong = waitNs + leases.averageServiceNs() > acquire.remainingNs();
+    boolean tooLong = waitNs + leases.leastTimeToServeNs() > acquire.remainingNs();
     return tooLong ? Optional.of(RefuseReason.WAIT_TOO_LONG) : Optional.empty();
   }
 
@@ -281,7 +281,7 @@
     if (!inTerm || queue.size() == 0) {
       return;
     }
-    for (WaitQueue.Waiter waiter : queue.removePassed(nowNs + leases.averageServiceNs())) {
+    for (WaitQueue.Waiter waiter : queue.removePassed(nowNs + leases.leastTimeToServeNs())) {
       leases.completed().add(waiter.key(), nowNs);
       refuse(waiter.key().holder(), waiter.key().requestNumber(), RefuseReason.WAIT_TOO_LONG);
     }
--- a/lib/src/main/java/org/cowslipstair/logic/broker/SlotLeases.java
+++ b/lib/src/main/java/org/cowslipstair/logic/broker/SlotLeases.java
@@ -19,6 +19,7 @@
 
 /** Grants and takes back the slots of one pool, and keeps them busy for as long as they may be. */
 final class SlotLeases {
+  private static final double LEAST_SERVICE_TIMES = 3;
   private final PoolId pool;
   private final BrokerSettings settings;
   private final PoolBackends backends;
@@ -82,9 +83,12 @@
     return longestCallNs + settings.reuseNs() + settings.cancelGraceNs();
   }
 
-  /** Returns the average service time, 0 while no call was answered. */
-  long averageServiceNs() {
-    return (long) serviceTime.averageNs();
+  /**
+   * Returns the time that a call should have left when it is sent. A call that times out keeps its
+   * slot busy for the grace, which costs the pool more than the call is worth.
+   */
+  long leastTimeToServeNs() {
+    return (long) (LEAST_SERVICE_TIMES * serviceTime.averageNs());
   }
 
   /** Estimates the wait of an acquire behind others, 0 while nothing is known. */
--- a/lib/src/main/java/org/cowslipstair/logic/lessee/LesseeCore.java
+++ b/lib/src/main/java/org/cowslipstair/logic/lessee/LesseeCore.java
@@ -231,6 +231,7 @@
       return tryFallback(pool, call, nowNs);
     }
     AdmissionRequest request = call.request();
+    call.asked(nowNs);
     lessee.request(call.id(), request.deadlineNs(), WhenFull.REFUSE, request.excluded(), nowNs);
     return true;
   }
@@ -356,12 +357,22 @@
         refuse(call, NotRunReason.NO_FREE_SLOT);
       } else if (call.retryAtNs() <= nowNs) {
         route(call, nowNs);
+      } else if (call.isUnansweredSince(nowNs - settings.silenceNs())) {
+        stopWaitingForSilentBroker(call, nowNs);
       }
     }
     pools.values().forEach(lessee -> lessee.tick(nowNs));
     return drain();
   }
 
+  private void stopWaitingForSilentBroker(WaitingCall call, long nowNs) {
+    if (call.request().freeSlotOnly()) {
+      return;
+    }
+    pools.values().forEach(lessee -> lessee.cancel(call.id()));
+    waitInQueues(call, candidates(call), nowNs);
+  }
+
   /** Returns what the lessee knows, for state dumps. */
   public LesseeStatus status(long nowNs) {
     List<LesseeStatus.PoolStatus> rows = new ArrayList<>();
--- a/lib/src/main/java/org/cowslipstair/logic/lessee/LesseeSettings.java
+++ b/lib/src/main/java/org/cowslipstair/logic/lessee/LesseeSettings.java
@@ -5,6 +5,8 @@
  *
  * @param resendNs time after which an acquire without answer is sent again
  * @param retryNs time after which a call that no broker could serve looks for a slot again
+ * @param silenceNs time after which a call waits in queues because the broker that it asked is
+ *     silent
  * @param mostWaits most pools in whose queues a call waits at once
  * @param longestLingerNs longest time that an idle lease waits for the next call
  * @param lingerIntervals mean intervals between own calls for which an idle lease waits
@@ -16,6 +18,7 @@
 public record LesseeSettings(
     long resendNs,
     long retryNs,
+    long silenceNs,
     int mostWaits,
     long longestLingerNs,
     double lingerIntervals,
@@ -27,6 +30,7 @@
       new LesseeSettings(
           100_000_000L,
           10_000_000L,
+          20_000_000L,
           2,
           50_000_000L,
           1.0,
--- a/lib/src/main/java/org/cowslipstair/logic/lessee/WaitingCall.java
+++ b/lib/src/main/java/org/cowslipstair/logic/lessee/WaitingCall.java
@@ -13,6 +13,7 @@
   private long retryAtNs = Long.MAX_VALUE;
   private boolean waited;
   private int openWaits;
+  private long askedAtNs = Long.MAX_VALUE;
 
   WaitingCall(long id, AdmissionRequest request) {
     this.id = id;
@@ -41,7 +42,18 @@
     return openWaits > 0;
   }
 
+  /** Takes note that one broker was asked, which answers at once unless it is paused or lost. */
+  void asked(long nowNs) {
+    askedAtNs = nowNs;
+  }
+
+  /** Returns whether the only broker that was asked has been silent since a time. */
+  boolean isUnansweredSince(long sinceNs) {
+    return openWaits == 0 && askedAtNs <= sinceNs;
+  }
+
   void startWait() {
+    askedAtNs = Long.MAX_VALUE;
     waited = true;
     openWaits++;
   }
@@ -61,6 +73,7 @@
     tried.clear();
     waited = false;
     openWaits = 0;
+    askedAtNs = Long.MAX_VALUE;
     retryAtNs = atNs;
   }
 
--- a/lib/src/test/java/org/cowslipstair/logic/broker/BrokerCoreTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/broker/BrokerCoreTest.java
@@ -172,7 +172,7 @@
     send(PEER, acquire(3, 500, WhenFull.WAIT));
     send(OTHER, acquire(4, 300, WhenFull.WAIT));
 
-    List<LeaseMessage> hopeless = send(OTHER, acquire(5, 30, WhenFull.WAIT));
+    List<LeaseMessage> hopeless = send(OTHER, acquire(5, 79, WhenFull.WAIT));
     List<LeaseMessage> served = send(PEER, release(2, CallEnd.ANSWERED));
 
     assertThat(((Refuse) hopeless.getFirst()).reason(), is(RefuseReason.WAIT_TOO_LONG));
--- a/lib/src/test/java/org/cowslipstair/logic/lessee/LesseeCoreTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/lessee/LesseeCoreTest.java
@@ -162,6 +162,20 @@
     assertThat(second.getFirst(), instanceOf(LesseeAction.NotAdmitted.class));
   }
 
+  @Test
+  void callWaitsElsewhereTooWhenItsBrokerIsSilent() {
+    admit(false);
+    nowNs += 19 * NS_PER_MS;
+    assertThat(lessee.tick(nowNs), is(empty()));
+
+    nowNs += NS_PER_MS;
+    Acquire away = (Acquire) message(lessee.tick(nowNs));
+
+    assertThat(away.pool(), is(AWAY_POOL));
+    nowNs += NS_PER_MS;
+    assertThat(lessee.tick(nowNs), is(empty()));
+  }
+
   @Test
   void hedgeIsRefusedInsteadOfWaiting() {
     Acquire home = (Acquire) message(admit(true));
@@ -174,15 +188,18 @@
   }
 
   @Test
-  void leaseEndsCountedFromWhenTheAcquireWasSent() {
+  void leaseEndsCountedFromWhenTheAcquireWasFirstSent() {
+    admit(false);
+    nowNs += 20 * NS_PER_MS;
     final long sentAtNs = nowNs;
-    Acquire acquire = (Acquire) message(admit(false));
+    Acquire sent = (Acquire) message(lessee.tick(nowNs));
     nowNs += 100 * NS_PER_MS;
-    lessee.tick(nowNs);
-    List<LesseeAction> actions = lessee.onMessage(FIRST, grant(acquire, "a-0", true), nowNs);
+    Acquire repeated = (Acquire) message(lessee.tick(nowNs));
 
-    Lease lease = ((LesseeAction.Admitted) actions.getFirst()).lease();
+    List<LesseeAction> actions = lessee.onMessage(SECOND, grant(repeated, "b-0", true), nowNs);
+    Lease lease = ((LesseeAction.Admitted) actions.getLast()).lease();
 
+    assertThat(repeated.requestNumber(), is(sent.requestNumber()));
     assertThat(lease.expiresAtNs(), is(sentAtNs + 2_500 * NS_PER_MS));
   }
 
--- a/lib/src/test/java/org/cowslipstair/runtime/lease/FaultPlan.java
+++ b/lib/src/test/java/org/cowslipstair/runtime/lease/FaultPlan.java
@@ -38,11 +38,16 @@
     }
   }
 
-  /** Draws a plan from a seed. */
+  /** Draws a plan from a seed, with all kinds of fault or only the orderly ones. */
   static FaultPlan draw(long seed, boolean orderly, long lengthMs) {
-    Random random = new Random(seed);
     List<FaultKind> kinds = new ArrayList<>(List.of(FaultKind.values()));
     kinds.removeIf(kind -> orderly && !kind.orderly);
+    return draw(seed, orderly, lengthMs, kinds);
+  }
+
+  /** Draws a plan with some kinds of fault. */
+  static FaultPlan draw(long seed, boolean orderly, long lengthMs, List<FaultKind> kinds) {
+    Random random = new Random(seed);
     List<Fault> faults = new ArrayList<>();
     long atMs = 1_000;
     while (atMs < lengthMs) {
--- a/lib/src/test/java/org/cowslipstair/runtime/lease/LeaseCostRun.java
+++ b/lib/src/test/java/org/cowslipstair/runtime/lease/LeaseCostRun.java
@@ -202,6 +202,7 @@
     return new LesseeSettings(
         defaults.resendNs(),
         defaults.retryNs(),
+        defaults.silenceNs(),
         Integer.getInteger("waits", defaults.mostWaits()),
         lingerMs * NS_PER_MS,
         defaults.lingerIntervals(),
--- a/lib/src/test/java/org/cowslipstair/runtime/lease/LeaseRandomRun.java
+++ b/lib/src/test/java/org/cowslipstair/runtime/lease/LeaseRandomRun.java
@@ -28,13 +28,19 @@
 import org.cowslipstair.model.fleet.GatewayName;
 import org.cowslipstair.model.pool.PoolId;
 import org.cowslipstair.runtime.lease.FaultPlan.Fault;
+import org.cowslipstair.runtime.lease.FaultPlan.FaultKind;
 
 /**
  * Runs gateways with brokers and lessees in virtual time under random faults, and checks what
- * really runs on the backend servers. As a program: {@code LeaseRandomRun seed runs lengthMs}.
+ * really runs on the backend servers. As a program: {@code LeaseRandomRun seed runs lengthMs [kinds
+ * of fault]}.
  */
 final class LeaseRandomRun {
   private static final int SLOTS = 3;
+
+  /** Longest deadline, cancel grace, and time for a message and a turn of the loop. */
+  private static final long LONGEST_CALL_MS = 400 + 200 + 20;
+
   private static final int BACKENDS_PER_ZONE = 3;
   private static final List<ZoneName> ZONES = List.of(new ZoneName("a"), new ZoneName("b"));
   private final FaultPlan plan;
@@ -45,10 +51,28 @@
   private final Set<String> marked = new HashSet<>();
   private final Map<GatewayName, Long> incarnations = new HashMap<>();
   private ConfigSnapshot snapshot = snapshot(Set.of());
+  private final Map<BackendName, Long> coldSinceNs = new HashMap<>();
   private long revision = 1;
+  private long pastColdMs;
 
   /** What a run did. */
-  record Outcome(long starts, long fallbackStarts, long refused, long pastSlots, int mostRunning) {}
+  record Outcome(
+      long starts,
+      long fallbackStarts,
+      long refused,
+      long pastSlots,
+      int mostRunning,
+      long pastColdMs) {
+    Outcome plus(Outcome other) {
+      return new Outcome(
+          starts + other.starts,
+          fallbackStarts + other.fallbackStarts,
+          refused + other.refused,
+          pastSlots + other.pastSlots,
+          Math.max(mostRunning, other.mostRunning),
+          pastColdMs + other.pastColdMs);
+    }
+  }
 
   /** A run that broke a promise. */
   record Failure(FaultPlan plan, long atMs, String message, List<String> trace) {}
@@ -102,7 +126,8 @@
         backends.fallbackStarts(),
         refused,
         backends.pastSlots(),
-        backends.mostRunning());
+        backends.mostRunning(),
+        pastColdMs);
   }
 
   private void start(GatewayName name) {
@@ -211,29 +236,50 @@
     }
   }
 
-  /** With one broker that knows its whole table, every call that runs is in the table. */
+  /** Looks at every backend server as the brokers in office see it, and as it is. */
   private void check() {
-    if (plan.orderly()) {
-      for (ZoneName zone : ZONES) {
-        soleBroker(new PoolId(new ServiceName("watch"), zone)).ifPresent(this::checkTable);
-      }
+    List<BrokerStatus> brokers = new ArrayList<>();
+    for (SimulatedGateway gateway : network.gateways.values()) {
+      brokers.addAll(gateway.runtime.status().brokers());
+    }
+    for (ZoneName zone : ZONES) {
+      PoolId pool = new PoolId(new ServiceName("watch"), zone);
+      checkPool(brokers.stream().filter(status -> status.pool().equals(pool)).toList());
     }
     events.in(NS_PER_MS, this::check);
   }
 
-  private Optional<BrokerStatus> soleBroker(PoolId pool) {
-    List<BrokerStatus> brokers = new ArrayList<>();
-    for (SimulatedGateway gateway : network.gateways.values()) {
-      for (BrokerStatus status : gateway.runtime.status().brokers()) {
-        if (status.pool().equals(pool)) {
-          brokers.add(status);
-        }
+  private void checkPool(List<BrokerStatus> brokers) {
+    if (plan.orderly() && brokers.size() == 1 && !brokers.getFirst().recovering()) {
+      checkTable(brokers.getFirst());
+    }
+    Map<BackendName, Integer> limits = new HashMap<>();
+    for (BrokerStatus status : brokers) {
+      for (BrokerStatus.BackendStatus row : status.backends()) {
+        limits.merge(row.backend(), row.limit(), Math::max);
       }
     }
-    boolean sole = brokers.size() == 1 && !brokers.getFirst().recovering();
-    return sole ? Optional.of(brokers.getFirst()) : Optional.empty();
+    limits.forEach(this::checkCold);
   }
 
+  /** A backend server that is cold for longer than any call lasts runs one call at a time. */
+  private void checkCold(BackendName backend, int limit) {
+    if (limit > 1) {
+      coldSinceNs.put(backend, events.nowNs());
+      return;
+    }
+    long sinceNs = coldSinceNs.computeIfAbsent(backend, _ -> events.nowNs());
+    if (events.nowNs() - sinceNs < LONGEST_CALL_MS * NS_PER_MS || backends.running(backend) <= 1) {
+      return;
+    }
+    pastColdMs++;
+    if (plan.orderly()) {
+      throw new AssertionError(
+          "%s is cold and runs %d calls".formatted(backend, backends.running(backend)));
+    }
+  }
+
+  /** With one broker that knows its whole table, every call that runs is in the table. */
   private void checkTable(BrokerStatus status) {
     for (BrokerStatus.BackendStatus row : status.backends()) {
       long running = backends.brokered(row.backend());
@@ -278,21 +324,35 @@
     long firstSeed = Long.parseLong(args[0]);
     int runs = Integer.parseInt(args[1]);
     long lengthMs = Long.parseLong(args[2]);
+    List<FaultKind> kinds = new ArrayList<>();
+    for (int i = 3; i < args.length; i++) {
+      kinds.add(FaultKind.valueOf(args[i]));
+    }
+    Outcome total = new Outcome(0, 0, 0, 0, 0, 0);
     for (long seed = firstSeed; seed < firstSeed + runs; seed++) {
-      for (boolean orderly : List.of(true, false)) {
-        FaultPlan drawn = FaultPlan.draw(seed, orderly, lengthMs);
-        Optional<Failure> failure = failure(drawn);
-        if (failure.isPresent()) {
-          System.out.println("seed " + seed + " orderly " + orderly + " failed");
-          Failure shortest = shortest(failure.get());
-          System.out.println(shortest.message() + " at " + shortest.atMs() + " ms");
-          shortest.trace().forEach(System.out::println);
-          System.out.println(shortest.plan());
-          System.exit(1);
-        }
-        System.out.println("seed " + seed + " orderly " + orderly + " " + run(drawn));
+      if (kinds.isEmpty()) {
+        report(FaultPlan.draw(seed, true, lengthMs));
+        total = total.plus(report(FaultPlan.draw(seed, false, lengthMs)));
+      } else {
+        total = total.plus(report(FaultPlan.draw(seed, false, lengthMs, kinds)));
       }
     }
+    System.out.println("all runs that were not orderly: " + total);
+  }
+
+  private static Outcome report(FaultPlan plan) {
+    String name = "seed " + plan.seed() + (plan.orderly() ? " orderly" : "");
+    Optional<Failure> failure = failure(plan);
+    if (failure.isPresent()) {
+      Failure shortest = shortest(failure.get());
+      shortest.trace().forEach(System.out::println);
+      System.out.println(name + " failed: " + shortest.message());
+      System.out.println("at " + shortest.atMs() + " ms of " + shortest.plan());
+      System.exit(1);
+    }
+    Outcome outcome = run(plan);
+    System.out.println(name + ": " + outcome);
+    return outcome;
   }
 
   static Outcome run(FaultPlan plan) {
