--- a/experiments/src/main/java/org/cowslipstair/experiments/demo/Demo.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/demo/Demo.java
@@ -68,6 +68,9 @@
     DemoReport report = new DemoReport(fleet, load.results(), zone);
     System.out.println();
     System.out.print(report.table());
+    load.results().values().stream()
+        .flatMap(result -> result.failureCauses().entrySet().stream())
+        .forEach(entry -> System.out.printf("%d x %s%n", entry.getValue(), entry.getKey()));
     Optional<String> broken = report.brokenPromise();
     System.out.println(broken.map(promise -> "demo: FAILED " + promise).orElse("demo: OK"));
     return broken.isEmpty();
--- a/experiments/src/main/java/org/cowslipstair/experiments/load/CallerView.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/load/CallerView.java
@@ -20,7 +20,7 @@
   record WrongBody() implements CallerView {}
 
   /** The connection failed before the answer was whole, so the caller saw a failure. */
-  record ConnectionFailed() implements CallerView {}
+  record ConnectionFailed(String cause) implements CallerView {}
 
   /** The gateway could not be reached. */
   record Unreachable() implements CallerView {}
--- a/experiments/src/main/java/org/cowslipstair/experiments/load/HttpCallSender.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/load/HttpCallSender.java
@@ -83,8 +83,8 @@
       return view(response, requestId(number));
     } catch (ConnectException _) {
       return new CallerView.Unreachable();
-    } catch (IOException _) {
-      return new CallerView.ConnectionFailed();
+    } catch (IOException e) {
+      return new CallerView.ConnectionFailed("%s from %s".formatted(e, gateway));
     }
   }
 
--- a/experiments/src/main/java/org/cowslipstair/experiments/load/ServiceResult.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/load/ServiceResult.java
@@ -1,5 +1,7 @@
 package org.cowslipstair.experiments.load;
 
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.LongAdder;
 import org.HdrHistogram.ConcurrentHistogram;
 import org.HdrHistogram.Histogram;
@@ -20,6 +22,7 @@
   private final LongAdder wrongBodies = new LongAdder();
   private final LongAdder connectionFailures = new LongAdder();
   private final LongAdder unreachable = new LongAdder();
+  private final Map<String, Long> causes = new ConcurrentHashMap<>();
   private final Histogram totalUs = histogram();
   private final Histogram addedUs = histogram();
   private final Histogram waitUs = histogram();
@@ -43,7 +46,10 @@
       case CallerView.NotRun _ -> notRun.increment();
       case CallerView.MayHaveRun _ -> mayHaveRun.increment();
       case CallerView.WrongBody _ -> wrongBodies.increment();
-      case CallerView.ConnectionFailed _ -> connectionFailures.increment();
+      case CallerView.ConnectionFailed(String cause) -> {
+        connectionFailures.increment();
+        causes.merge(cause, 1L, Long::sum);
+      }
       case CallerView.Unreachable _ -> unreachable.increment();
     }
   }
@@ -82,6 +88,11 @@
     return connectionFailures.sum();
   }
 
+  /** Returns how often connections failed, by cause. */
+  public Map<String, Long> failureCauses() {
+    return Map.copyOf(causes);
+  }
+
   /** Returns the number of calls that reached no gateway. */
   public long unreachable() {
     return unreachable.sum();
@@ -111,6 +122,7 @@
     wrongBodies.add(other.wrongBodies());
     connectionFailures.add(other.connectionFailures());
     unreachable.add(other.unreachable());
+    other.causes.forEach((cause, count) -> causes.merge(cause, count, Long::sum));
     totalUs.add(other.totalUs);
     addedUs.add(other.addedUs);
     waitUs.add(other.waitUs);
