Cancel calls whose caller hung up

A caller that closed its connection left its call holding a slot until the answer came. New test: an answer cut short after its head went out is never a whole one (fails when the abort is taken out).

--- a/adapters/src/main/java/org/cowslipstair/adapters/http/CallerExchange.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/http/CallerExchange.java
@@ -10,6 +10,7 @@
 import org.cowslipstair.logic.call.CallResult;
 import org.cowslipstair.model.call.MayHaveRunReason;
 import org.cowslipstair.port.BackendTransport.BackendAnswer;
+import org.cowslipstair.port.BackendTransport.CallBody;
 import org.cowslipstair.port.MonotonicClock;
 import org.eclipse.jetty.ee10.servlet.ServletContextRequest;
 
@@ -19,6 +20,7 @@
   private final AnswerWriter writer;
   private final CallHandler handler;
   private final Supplier<String> requestIds;
+  private final HangUpWatch hangUps;
   private final BooleanSupplier closing;
 
   CallerExchange(
@@ -26,11 +28,13 @@
       CallHandler handler,
       MonotonicClock clock,
       Supplier<String> requestIds,
+      HangUpWatch hangUps,
       BooleanSupplier closing) {
     this.reader = new CallReader(limits, clock, requestIds);
     this.writer = new AnswerWriter(limits);
     this.handler = handler;
     this.requestIds = requestIds;
+    this.hangUps = hangUps;
     this.closing = closing;
   }
 
@@ -43,7 +47,6 @@
       abort(core, e);
     } catch (InterruptedException e) {
       abort(core, e);
-      Thread.currentThread().interrupt();
     }
   }
 
@@ -64,7 +67,22 @@
       writer.writeProblem(response, Problem.of(e.fault()), requestId, true);
       return;
     }
-    finish(response, requestId, handler.handle(call));
+    finish(response, requestId, handle(core, call));
+  }
+
+  /** Runs a call; one whose request still streams in notices by that when its caller is gone. */
+  private CallResult handle(ServletContextRequest core, CallRequest call)
+      throws InterruptedException {
+    if (call.body() instanceof CallBody.Streamed) {
+      return handler.handle(call);
+    }
+    HangUpWatch.Call watched =
+        hangUps.begin(core.getConnectionMetaData().getConnection().getEndPoint());
+    try {
+      return handler.handle(call);
+    } finally {
+      watched.end();
+    }
   }
 
   private void finish(HttpServletResponse response, String requestId, CallResult result)
--- a/adapters/src/main/java/org/cowslipstair/adapters/http/CallerServer.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/http/CallerServer.java
@@ -38,6 +38,7 @@
 
   private final CallerServerSettings settings;
   private final MonotonicClock clock;
+  private final HangUpWatch hangUps;
   private final CallerExchange exchange;
   private final Javalin javalin;
   private final AtomicInteger inProgress = new AtomicInteger();
@@ -57,8 +58,9 @@
       Supplier<String> requestIds) {
     this.settings = settings;
     this.clock = clock;
+    this.hangUps = new HangUpWatch(clock);
     this.exchange =
-        new CallerExchange(settings.limits(), handler, clock, requestIds, () -> stopping);
+        new CallerExchange(settings.limits(), handler, clock, requestIds, hangUps, () -> stopping);
     this.javalin = Javalin.create(this::configure);
   }
 
@@ -110,6 +112,7 @@
   /** Starts to listen and returns the port. */
   public int start() {
     javalin.start();
+    hangUps.start();
     port = connector().getLocalPort();
     return port;
   }
@@ -168,6 +171,7 @@
 
   @Override
   public void close() {
+    hangUps.stop();
     javalin.stop();
   }
 }
--- a/adapters/src/test/java/org/cowslipstair/adapters/http/RawCaller.java
+++ b/adapters/src/test/java/org/cowslipstair/adapters/http/RawCaller.java
@@ -7,6 +7,7 @@
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -105,6 +106,19 @@
     }
   }
 
+  /** Reads whatever comes until the connection ends, in whichever way. */
+  String readRest() throws IOException {
+    ByteArrayOutputStream rest = new ByteArrayOutputStream();
+    try {
+      in.transferTo(rest);
+    } catch (SocketTimeoutException e) {
+      throw e;
+    } catch (IOException ignored) {
+      // A reset is an end too.
+    }
+    return rest.toString(StandardCharsets.ISO_8859_1);
+  }
+
   byte[] readBytes(int count) throws IOException {
     return in.readNBytes(count);
   }
--- a/adapters/src/test/java/org/cowslipstair/adapters/http/StreamingTest.java
+++ b/adapters/src/test/java/org/cowslipstair/adapters/http/StreamingTest.java
@@ -18,6 +18,8 @@
 import org.cowslipstair.adapters.http.RawCaller.Answer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Bodies that pass through: in bounded memory, whole or visibly broken, past slow callers. */
 @Timeout(120)
@@ -130,6 +132,38 @@
     }
   }
 
+  @ParameterizedTest
+  @CsvSource({"true,true", "true,false", "false,true", "false,false"})
+  void answerCutShortAfterItsHeadWentOutIsNeverAWholeOne(boolean chunked, boolean reset)
+      throws Exception {
+    int size = 300_000;
+    String framing =
+        chunked
+            ? "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(size) + "\r\n"
+            : "Content-Length: " + size + "\r\n\r\n";
+    String part = "HTTP/1.1 200 OK\r\n" + framing + "z".repeat(size - (chunked ? 0 : 1));
+    try (RawBackend backend =
+            new RawBackend(
+                link -> {
+                  link.read();
+                  link.write(part);
+                  if (reset) {
+                    link.reset();
+                  }
+                });
+        Edge edge = new Edge(backend.server());
+        RawCaller caller = new RawCaller(edge.port())) {
+      caller.send(RawCaller.get("/"));
+      caller.readUntil("HTTP/1.1 200 OK\r\n");
+      String rest = caller.readRest();
+      assertThat(rest.endsWith("\r\n0\r\n\r\n"), is(false));
+      assertThat(rest.chars().filter(c -> c == 'z').count(), lessThan((long) size + 1));
+      if (!chunked) {
+        assertThat(rest.chars().filter(c -> c == 'z').count(), lessThan((long) size));
+      }
+    }
+  }
+
   @Test
   void trailersOfAnAnswerPass() throws Exception {
     for (int size : new int[] {5, 200_000}) {
@@ -189,6 +223,50 @@
     }
   }
 
+  @Test
+  void callerThatHangsUpCancelsItsCall() throws Exception {
+    CompletableFuture<Integer> afterwards = new CompletableFuture<>();
+    CountDownLatch running = new CountDownLatch(1);
+    try (RawBackend backend =
+            new RawBackend(
+                link -> {
+                  link.read();
+                  running.countDown();
+                  afterwards.complete(link.readBytes(1));
+                });
+        Edge edge = new Edge(backend.server())) {
+      try (RawCaller caller = new RawCaller(edge.port())) {
+        caller.send(RawCaller.post("/", "r", "body"));
+        assertThat(running.await(60, TimeUnit.SECONDS), is(true));
+      }
+      assertThat("connection to the backend ends", afterwards.get(10, TimeUnit.SECONDS), is(0));
+    }
+  }
+
+  @Test
+  void callerThatPipelinesWhileItWaitsIsServedBothTimes() throws Exception {
+    CountDownLatch release = new CountDownLatch(1);
+    CountDownLatch running = new CountDownLatch(1);
+    try (RawBackend backend =
+            new RawBackend(
+                link -> {
+                  link.read();
+                  running.countDown();
+                  awaitQuietly(release, 300);
+                  link.write(RawBackend.ok("1"));
+                  link.read();
+                  link.write(RawBackend.ok("2"));
+                });
+        Edge edge = new Edge(backend.server());
+        RawCaller caller = new RawCaller(edge.port())) {
+      caller.send(RawCaller.get("/"));
+      assertThat(running.await(60, TimeUnit.SECONDS), is(true));
+      caller.send(RawCaller.get("/"));
+      assertThat(caller.read().text(), is("1"));
+      assertThat(caller.read().text(), is("2"));
+    }
+  }
+
   @Test
   void silentCallerOfASmallBodyReachesNoBackend() throws Exception {
     try (RawBackend backend = new RawBackend(link -> link.read());
