--- a/lib/src/main/java/org/cowslipstair/logic/backend/TrackedBackend.java
+++ b/lib/src/main/java/org/cowslipstair/logic/backend/TrackedBackend.java
@@ -82,14 +82,15 @@
     return probeBudget;
   }
 
-  /** Takes the configured object; a backend server that returns is cold. */
+  /** Takes the configured object; a backend server that returns or has moved is cold. */
   void configure(BackendServer newServer, boolean takesNewCalls, long nowNs) {
+    boolean moved = !newServer.address().equals(server.address());
     server = newServer;
     if (!takesNewCalls) {
       enter(new Leaving(), 0, nowNs);
       return;
     }
-    if (isLeaving()) {
+    if (isLeaving() || moved) {
       forget(nowNs);
       return;
     }
--- a/lib/src/main/java/org/cowslipstair/logic/call/AttemptRunner.java
+++ b/lib/src/main/java/org/cowslipstair/logic/call/AttemptRunner.java
@@ -7,6 +7,7 @@
 import org.cowslipstair.logic.admission.Admission.AdmissionRequest;
 import org.cowslipstair.logic.admission.NotAdmittedException;
 import org.cowslipstair.logic.admission.Permit;
+import org.cowslipstair.logic.invariant.InvariantMonitor;
 import org.cowslipstair.model.call.CallHeaders;
 import org.cowslipstair.model.call.MayHaveRunReason;
 import org.cowslipstair.model.call.NotRunReason;
@@ -26,9 +27,15 @@
   private final CallHooks hooks;
   private final HedgeDelays hedgeDelays;
   private final int bufferedAnswerBytes;
+  private final InvariantMonitor monitor;
 
   AttemptRunner(
-      CallPorts ports, CallHooks hooks, HedgeDelays hedgeDelays, int bufferedAnswerBytes) {
+      CallPorts ports,
+      CallHooks hooks,
+      HedgeDelays hedgeDelays,
+      int bufferedAnswerBytes,
+      InvariantMonitor monitor) {
+    this.monitor = monitor;
     this.ports = ports;
     this.hooks = hooks;
     this.hedgeDelays = hedgeDelays;
@@ -150,7 +157,8 @@
             ports.clock().nowNs() - slot.sentNs(),
             deadlineNs,
             ports.clock(),
-            slot::release);
+            slot::release,
+            monitor);
     long length = tracked.expectedBytes();
     if (call.idempotent() && length > 0 && length <= bufferedAnswerBytes) {
       try {
--- a/lib/src/main/java/org/cowslipstair/logic/call/CallService.java
+++ b/lib/src/main/java/org/cowslipstair/logic/call/CallService.java
@@ -54,7 +54,8 @@
     this.monitor = monitor;
     this.retryAfter = new RetryAfter(settings.retryAfterMs(), random);
     this.hedgeDelays = new HedgeDelays(settings.minHedgeDelayNs());
-    this.runner = new AttemptRunner(ports, hooks, hedgeDelays, settings.bufferedAnswerBytes());
+    this.runner =
+        new AttemptRunner(ports, hooks, hedgeDelays, settings.bufferedAnswerBytes(), monitor);
   }
 
   @Override
--- a/lib/src/main/java/org/cowslipstair/logic/call/TrackedAnswer.java
+++ b/lib/src/main/java/org/cowslipstair/logic/call/TrackedAnswer.java
@@ -6,6 +6,8 @@
 import java.io.InterruptedIOException;
 import java.util.List;
 import java.util.function.Consumer;
+import org.cowslipstair.logic.invariant.Invariant;
+import org.cowslipstair.logic.invariant.InvariantMonitor;
 import org.cowslipstair.model.call.HeaderField;
 import org.cowslipstair.model.config.BackendName;
 import org.cowslipstair.model.pool.CallEnd;
@@ -23,6 +25,7 @@
   private final BackendAnswer answer;
   private final MonotonicClock clock;
   private final Consumer<CallReport> release;
+  private final InvariantMonitor monitor;
   private final long headTimeNs;
   private final long deadlineNs;
   private final long expectedBytes;
@@ -46,7 +49,8 @@
       long headTimeNs,
       long deadlineNs,
       MonotonicClock clock,
-      Consumer<CallReport> release) {
+      Consumer<CallReport> release,
+      InvariantMonitor monitor) {
     this.backend = backend;
     this.attempt = attempt;
     this.answer = answer;
@@ -54,6 +58,7 @@
     this.deadlineNs = deadlineNs;
     this.clock = clock;
     this.release = release;
+    this.monitor = monitor;
     this.expectedBytes = AnswerLength.of(method, answer);
     this.body = new CheckedBody(answer.body());
     if (expectedBytes == 0) {
@@ -117,6 +122,10 @@
     }
     ended = true;
     release.accept(new CallReport(how, headTimeNs + readTimeNs));
+    if (how == CallEnd.ANSWERED && expectedBytes >= 0) {
+      long wrongBytes = Math.abs(expectedBytes - receivedBytes);
+      monitor.checkAtMost(Invariant.WHOLE_ANSWER, backend.value(), wrongBytes, 0);
+    }
   }
 
   private final class CheckedBody extends InputStream {
--- a/lib/src/test/java/org/cowslipstair/logic/backend/PoolBackendsTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/backend/PoolBackendsTest.java
@@ -6,10 +6,13 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.cowslipstair.model.config.BackendName;
+import org.cowslipstair.model.config.BackendServer;
+import org.cowslipstair.model.config.HostPort;
 import org.cowslipstair.model.pool.BackendState;
 import org.cowslipstair.model.pool.CallEnd;
 import org.cowslipstair.model.pool.CallReport;
@@ -158,6 +161,19 @@
     assertThat(pool.limit(FIRST), is(1));
   }
 
+  @Test
+  void backendWithAnotherAddressIsCold() {
+    warmAll();
+    List<BackendServer> servers = new ArrayList<>(Backends.servers(COUNT, SLOTS));
+    BackendServer old = servers.getFirst();
+    HostPort moved = new HostPort("127.0.0.2", 1);
+    servers.set(
+        0, new BackendServer(FIRST, old.labels(), old.zone(), moved, SLOTS, old.maxConnections()));
+    pool.configure(servers, Backends.names(COUNT), nowNs);
+    assertThat(pool.limit(FIRST), is(1));
+    assertThat(pool.limit(Backends.name(1)), is(SLOTS));
+  }
+
   @Test
   void plannedHandOverKeepsLimitsAndLearntTroubleWins() {
     warmAll();
--- a/lib/src/test/java/org/cowslipstair/logic/call/CallServiceTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/call/CallServiceTest.java
@@ -201,6 +201,14 @@
     assertThat(ends(), is(List.of(CallEnd.FAILED)));
   }
 
+  @Test
+  void bodyLongerThanAnnouncedIsAViolation() throws Exception {
+    behaviour = (_, _) -> FakeAnswer.announced("hello", 3);
+    CallResult result = fixture.call("a", "POST");
+    AssertionError e = assertThrows(AssertionError.class, () -> CallFixture.text(result));
+    assertThat(e.getMessage(), startsWith("violated: Violation[invariant=WHOLE_ANSWER"));
+  }
+
   @Test
   void closingAnAnswerEarlyCancelsTheCall() throws Exception {
     FakeAnswer answer = FakeAnswer.whole("long");
