--- a/cli/src/main/java/org/cowslipstair/cli/FleetWait.java
+++ b/cli/src/main/java/org/cowslipstair/cli/FleetWait.java
@@ -57,13 +57,18 @@
   }
 
   private static boolean hasInForce(GatewayState gateway, StoreId storeId, long revision) {
-    return gateway.storeId().equals(storeId.value()) && gateway.revision() >= revision;
+    return gateway.storeId().equals(storeId.value())
+        && gateway.revision() >= revision
+        && !gateway.refusesStore();
   }
 
   private static String describe(GatewayState gateway) {
     if (!gateway.failure().isEmpty()) {
       return "%s (%s)".formatted(gateway.name(), gateway.failure());
     }
+    if (gateway.refusesStore()) {
+      return "%s (refuses the store)".formatted(gateway.name());
+    }
     return "%s (revision %d)".formatted(gateway.name(), gateway.revision());
   }
 }
--- a/cli/src/main/java/org/cowslipstair/cli/GatewayState.java
+++ b/cli/src/main/java/org/cowslipstair/cli/GatewayState.java
@@ -62,6 +62,12 @@
     return at("/config/storeId").asText();
   }
 
+  /** Returns whether the gateway refuses the store or still awaits one that was accepted. */
+  boolean refusesStore() {
+    return at("/config/status/refusedStore").isObject()
+        || at("/config/status/awaitedStore").isTextual();
+  }
+
   /** Returns what operators should look at. */
   List<String> problems(String storeId) {
     List<String> problems = new ArrayList<>();
--- a/cli/src/test/java/org/cowslipstair/cli/CliTest.java
+++ b/cli/src/test/java/org/cowslipstair/cli/CliTest.java
@@ -153,6 +153,12 @@
       assertThat(output(), containsString("watch-1"));
       assertThat(run("explain", "r2"), is(ExitCode.NOT_FOUND));
       assertThat(run("dump", "gw-2"), is(ExitCode.NOT_FOUND));
+      gateway.refuseStore();
+      store.write("zone", "a", "{\"labels\":{}}");
+      assertThat(run("zone", "out", "a", "--wait-seconds", "0"), is(ExitCode.NOT_IN_FORCE));
+      assertThat(errors(), containsString("gw-1 (refuses the store)"));
+      assertThat(run("status"), is(ExitCode.OK));
+      assertThat(output(), containsString("refused store s at revision 1: OLDER_REVISION"));
       assertThat(run("store", "accept", "other"), is(ExitCode.NOT_FOUND));
       assertThat(run("store", "accept", store.storeId()), is(ExitCode.OK));
       assertThat(gateway.posts(), contains("/store/accept/" + store.storeId()));
--- a/cli/src/test/java/org/cowslipstair/cli/FakeGateway.java
+++ b/cli/src/test/java/org/cowslipstair/cli/FakeGateway.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
 import org.cowslipstair.standins.store.StoreInstance;
 import org.cowslipstair.standins.store.StoreServer;
@@ -17,6 +18,7 @@
 final class FakeGateway implements AutoCloseable {
   private final String name;
   private final HttpServer server;
+  private final AtomicBoolean refusing = new AtomicBoolean();
   private final List<String> posts = Collections.synchronizedList(new ArrayList<>());
 
   FakeGateway(String name, StoreServer store, LongSupplier revision) throws IOException {
@@ -26,8 +28,8 @@
         "/state",
         exchange -> {
           String state =
-              "{\"name\":\"%s\",\"config\":{\"storeId\":\"%s\",\"revision\":%d}}"
-                  .formatted(name, store.storeId(), revision.getAsLong());
+              "{\"name\":\"%s\",\"config\":{\"storeId\":\"%s\",\"revision\":%d,\"status\":%s}}"
+                  .formatted(name, store.storeId(), revision.getAsLong(), status());
           answer(exchange, 200, state);
         });
     server.createContext(
@@ -36,6 +38,7 @@
         "/store/accept/",
         exchange -> {
           posts.add(exchange.getRequestURI().getPath());
+          refusing.set(false);
           answer(exchange, 202, "");
         });
     server.start();
@@ -47,6 +50,17 @@
     return new StoreInstance(name, "tz-north-a", "127.0.0.1:1", admin, leaving);
   }
 
+  /** Refuses the store until told to accept it. */
+  void refuseStore() {
+    refusing.set(true);
+  }
+
+  private String status() {
+    return refusing.get()
+        ? "{\"refusedStore\":{\"storeId\":\"s\",\"revision\":1,\"reason\":\"OLDER_REVISION\"}}"
+        : "{}";
+  }
+
   List<String> posts() {
     return List.copyOf(posts);
   }
