--- a/lib/src/test/java/org/cowslipstair/runtime/lease/LeaseCostRun.java
+++ b/lib/src/test/java/org/cowslipstair/runtime/lease/LeaseCostRun.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -43,6 +44,20 @@
  * virtual time. As a program it prints a table over load and linger.
  */
 final class LeaseCostRun {
+  /** Payload of each message on the wire once names are known; a frame adds four bytes. */
+  private static final Map<String, Integer> PAYLOAD_BYTES =
+      Map.of(
+          "Acquire", 14,
+          "Grant", 15,
+          "Release", 13,
+          "Reuse", 13,
+          "CancelAcquire", 7,
+          "Refuse", 9,
+          "Recall", 3,
+          "Withdraw", 3);
+
+  private static final int FRAME_BYTES = 4;
+  private static final long WRITE_WINDOW_NS = 500_000;
   private static final int GATEWAYS = 18;
   private static final int BACKENDS = 14;
   private static final int SLOTS = 3;
@@ -59,6 +74,8 @@
   private final List<Double> waitsMs = new ArrayList<>();
   private final ConfigSnapshot snapshot = snapshot();
   private final double callsPerSecond;
+  private final Map<List<GatewayName>, Long> lastWrites = new HashMap<>();
+  private long writes;
   private long nextCall;
   private long fromIdle;
   private long refused;
@@ -133,6 +150,9 @@
   private void send(Member from, GatewayName to, LeaseMessage message) {
     if (events.nowNs() > WARM_UP_MS * NS_PER_MS) {
       messages.merge(message.getClass().getSimpleName(), 1, Integer::sum);
+      long window = events.nowNs() / WRITE_WINDOW_NS;
+      Long last = lastWrites.put(List.of(from.id().name(), to), window);
+      writes += last != null && last == window ? 0 : 1;
     }
     ZoneName target = members.get(Integer.parseInt(to.value().substring(1))).zone();
     long delayNs = target.equals(from.zone()) ? 200_000 : 1_000_000;
@@ -186,15 +206,21 @@
     double[] waits = waitsMs.stream().mapToDouble(Double::doubleValue).sorted().toArray();
     double calls = waits.length;
     int sent = messages.values().stream().mapToInt(Integer::intValue).sum();
-    return "%5.2f messages a call, %4.1f%% from idle, wait ms mean %.2f p50 %.2f p99 %.2f, refused %d %s"
+    int payloadBytes = 0;
+    for (Map.Entry<String, Integer> entry : messages.entrySet()) {
+      payloadBytes += entry.getValue() * PAYLOAD_BYTES.getOrDefault(entry.getKey(), 0);
+    }
+    return "%5.2f messages in %.2f writes, %4.1f + %4.1f bytes a call, %4.1f%% from idle, wait ms mean %.2f p50 %.2f p99 %.2f, refused %d"
         .formatted(
             sent / calls,
+            writes / calls,
+            payloadBytes / calls,
+            FRAME_BYTES * sent / calls,
             100 * fromIdle / calls,
             Arrays.stream(waits).average().orElse(0),
             waits[waits.length / 2],
             waits[(int) (waits.length * 0.99)],
-            refused,
-            messages);
+            refused);
   }
 
   private static LesseeSettings linger(long lingerMs, double freeShare) {
