--- a/adapters/src/test/java/org/cowslipstair/adapters/peer/MembershipTraffic.java
+++ b/adapters/src/test/java/org/cowslipstair/adapters/peer/MembershipTraffic.java
@@ -2,38 +2,12 @@
 
 import com.sun.management.OperatingSystemMXBean;
 import java.lang.management.ManagementFactory;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.cowslipstair.logic.config.ConfigBatch;
-import org.cowslipstair.logic.config.ConfigCore;
-import org.cowslipstair.logic.config.ConfigSettings;
-import org.cowslipstair.logic.config.InvalidObjectException;
-import org.cowslipstair.logic.invariant.InvariantMonitor;
-import org.cowslipstair.logic.membership.FleetView;
-import org.cowslipstair.logic.membership.MembershipCore;
-import org.cowslipstair.logic.membership.MembershipEvent;
-import org.cowslipstair.logic.membership.MembershipSettings;
-import org.cowslipstair.model.config.ConfigSnapshot;
-import org.cowslipstair.model.config.ConfigVersion;
-import org.cowslipstair.model.config.HostPort;
-import org.cowslipstair.model.config.ServiceName;
 import org.cowslipstair.model.config.StoreId;
-import org.cowslipstair.model.config.ZoneName;
-import org.cowslipstair.model.fleet.GatewayId;
-import org.cowslipstair.model.fleet.GatewayName;
 import org.cowslipstair.model.fleet.InstanceEntry;
-import org.cowslipstair.model.peer.ConfigMessage;
-import org.cowslipstair.model.peer.LeaseMessage;
-import org.cowslipstair.model.peer.MembershipMessage.Heartbeat;
-import org.cowslipstair.model.peer.MembershipMessage.PoolFree;
-import org.cowslipstair.model.pool.PoolId;
-import org.cowslipstair.port.MonotonicClock;
-import org.cowslipstair.runtime.ControlLoop;
-import org.cowslipstair.runtime.config.ConfigRuntime;
-import org.cowslipstair.runtime.membership.FleetListener;
-import org.cowslipstair.runtime.membership.MembershipRuntime;
 
 /** Measures what membership at rest costs each of a number of gateways, joined over loopback. */
 public final class MembershipTraffic {
@@ -46,101 +20,16 @@
 
   private MembershipTraffic() {}
 
-  /** One gateway. */
-  private static final class Gateway implements FleetListener, ConfigRuntime.Listener {
-    private final ControlLoop loop = new ControlLoop("control", MonotonicClock.system());
-    private final TcpPeerTransport transport;
-    private final ConfigRuntime config;
-    private final MembershipRuntime membership;
-
-    Gateway(int number) throws Exception {
-      byte[] key = "a key for the measurement".getBytes(StandardCharsets.UTF_8);
-      transport =
-          TcpPeerTransport.open(
-              PeerTransportSettings.of(new HostPort("127.0.0.1", 0), key),
-              address -> TcpPeerTransportTest.member("gw-" + number, 1, address),
-              MonotonicClock.system());
-      InvariantMonitor monitor = InvariantMonitor.failing();
-      ConfigCore configCore =
-          new ConfigCore(
-              ConfigSettings.defaults(),
-              stored -> {
-                throw new InvalidObjectException(stored.key(), "unused");
-              },
-              monitor);
-      config = new ConfigRuntime(configCore, loop, MonotonicClock.system(), this);
-      MembershipCore core =
-          new MembershipCore(
-              MembershipSettings.defaults(), transport.self(), monitor, System.nanoTime());
-      membership =
-          new MembershipRuntime(core, config, transport, loop, MonotonicClock.system(), this);
-    }
-
-    void start(List<InstanceEntry> fleet) throws Exception {
-      StoreId store = new StoreId("5f0c9a52-store");
-      config
-          .onStoreBatch(new ConfigBatch(store, 0, 100_000, List.of()), ConfigVersion.none())
-          .get();
-      List<PoolFree> freeSlots =
-          List.of(
-              new PoolFree(new PoolId(new ServiceName("watch"), new ZoneName("zone-a")), 20),
-              new PoolFree(new PoolId(new ServiceName("vault"), new ZoneName("zone-b")), 14));
-      membership.start();
-      membership.onInstances(fleet);
-      loop.every(TICK_MS, nowNs -> membership.tick(nowNs, freeSlots));
-    }
-
-    void close() {
-      membership.close();
-      transport.close();
-      loop.close();
-    }
-
-    @Override
-    public void send(GatewayName to, ConfigMessage message) {
-      transport.send(to, message);
-    }
-
-    @Override
-    public void broadcast(ConfigMessage message) {
-      membership.view().members().forEach(member -> send(member.id().name(), message));
-    }
-
-    @Override
-    public void onConfig(ConfigSnapshot snapshot) {}
-
-    @Override
-    public void onStoreContact() {}
-
-    @Override
-    public void onView(FleetView view) {}
-
-    @Override
-    public void onEvent(MembershipEvent event) {}
-
-    @Override
-    public void onConnected(GatewayId peer) {}
-
-    @Override
-    public void onDisconnected(GatewayId peer) {}
-
-    @Override
-    public void onHeartbeat(GatewayId from, Heartbeat heartbeat) {}
-
-    @Override
-    public void onLeaseMessage(GatewayId from, LeaseMessage message) {}
-  }
-
   /** What all gateways did up to one moment. */
   private record Totals(
       long bytesOut, long bytesIn, long framesOut, long framesIn, long cpuNs, long loopNs) {
-    static Totals of(List<Gateway> fleet) {
+    static Totals of(List<PeeringGateway> fleet) {
       long bytesOut = 0;
       long bytesIn = 0;
       long framesOut = 0;
       long framesIn = 0;
       long loopNs = 0;
-      for (Gateway gateway : fleet) {
+      for (PeeringGateway gateway : fleet) {
         PeerTraffic traffic = gateway.transport.traffic();
         bytesOut += traffic.bytesOut();
         bytesIn += traffic.bytesIn();
@@ -173,15 +62,16 @@
   }
 
   private static void measure(int size) throws Exception {
-    List<Gateway> fleet = new ArrayList<>();
+    List<PeeringGateway> fleet = new ArrayList<>();
     List<InstanceEntry> entries = new ArrayList<>();
     for (int i = 0; i < size; i++) {
-      Gateway gateway = new Gateway(i);
+      PeeringGateway gateway = new PeeringGateway("gw-" + i, 1);
+      gateway.takeStore(new ConfigBatch(new StoreId("5f0c9a52-store"), 0, 100_000, List.of()));
       fleet.add(gateway);
       entries.add(TcpPeerTransportTest.entryOf(gateway.transport));
     }
-    for (Gateway gateway : fleet) {
-      gateway.start(entries);
+    for (PeeringGateway gateway : fleet) {
+      gateway.start(entries, TICK_MS);
     }
     awaitJoined(fleet);
     Thread.sleep(WARM_UP_MS);
@@ -190,12 +80,12 @@
     Thread.sleep(MEASURE_MS);
     Totals after = Totals.of(fleet);
     print(size, before, after, System.nanoTime() - startNs);
-    fleet.forEach(Gateway::close);
+    fleet.forEach(PeeringGateway::close);
   }
 
-  private static void awaitJoined(List<Gateway> fleet) throws InterruptedException {
+  private static void awaitJoined(List<PeeringGateway> fleet) throws InterruptedException {
     long deadlineNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(JOIN_TIMEOUT_MS);
-    for (Gateway gateway : fleet) {
+    for (PeeringGateway gateway : fleet) {
       while (gateway.membership.view().members().size() < fleet.size()) {
         if (System.nanoTime() > deadlineNs) {
           throw new IllegalStateException("the fleet did not join in time");
--- /dev/null
+++ b/lib/src/test/java/org/cowslipstair/runtime/config/ConfigWatcherTest.java
@@ -0,0 +1,72 @@
+package org.cowslipstair.runtime.config;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.cowslipstair.model.config.StoreId;
+import org.junit.jupiter.api.Test;
+
+class ConfigWatcherTest {
+  private static void await(String what, BooleanSupplier condition) throws InterruptedException {
+    long deadlineNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+    while (!condition.getAsBoolean()) {
+      assertThat(what, System.nanoTime() < deadlineNs, is(true));
+      Thread.sleep(5);
+    }
+  }
+
+  @Test
+  void listsOnceThenFollowsTheWatchAcrossAnOutage() throws Exception {
+    FakePlatformStore platform = new FakePlatformStore();
+    platform.write("a", "in");
+    try (WatchingGateway gateway = new WatchingGateway(platform, 1)) {
+      await("list", () -> gateway.stateOf("a").equals("in"));
+      platform.write("a", "out");
+      await("watch", () -> gateway.stateOf("a").equals("out"));
+      platform.setDown(true);
+      await("failure", () -> gateway.store.counts().failed() > 0);
+      platform.write("a", "back");
+      platform.setDown(false);
+      await("return", () -> gateway.stateOf("a").equals("back"));
+
+      assertThat(gateway.store.counts().lists(), is(1L));
+      assertThat(gateway.contacts.get(), greaterThanOrEqualTo(3));
+    }
+  }
+
+  @Test
+  void restoredStoreIsRefusedAndListedAtOnceWhenAccepted() throws Exception {
+    FakePlatformStore platform = new FakePlatformStore();
+    platform.write("a", "out");
+    try (WatchingGateway gateway = new WatchingGateway(platform, 2)) {
+      await("list", () -> gateway.stateOf("a").equals("out"));
+      platform.restoreEmpty("store-b");
+      await("refusal", () -> gateway.config.status().refusedStore().isPresent());
+      assertThat(gateway.stateOf("a"), is("out"));
+
+      gateway.config.acceptStore(new StoreId("store-b")).get();
+      await("replacement", () -> gateway.config.inForce().storeId().value().equals("store-b"));
+      assertThat(gateway.stateOf("a"), is("absent"));
+      assertThat(gateway.config.inForce().storeTerm(), is(1L));
+    }
+  }
+
+  @Property(seed = "61")
+  void delaysDoubleUpToTheCapAndAreSpread(
+      @ForAll @IntRange(min = 1, max = 80) int failures, @ForAll long seed) {
+    StoreBackoff backoff = StoreBackoff.defaults();
+    long delayMs = backoff.delayMs(failures, new Random(seed));
+    long meanMs = failures > 6 ? 10_000 : Math.min(10_000, 250L << (failures - 1));
+
+    assertThat(delayMs, greaterThanOrEqualTo(meanMs / 2));
+    assertThat(delayMs, lessThanOrEqualTo(meanMs * 3 / 2));
+  }
+}
--- /dev/null
+++ b/lib/src/test/java/org/cowslipstair/runtime/config/WatchingGateway.java
@@ -0,0 +1,75 @@
+package org.cowslipstair.runtime.config;
+
+import java.util.Random;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.cowslipstair.logic.config.ConfigCore;
+import org.cowslipstair.logic.config.ConfigSettings;
+import org.cowslipstair.logic.invariant.InvariantMonitor;
+import org.cowslipstair.model.config.ConfigSnapshot;
+import org.cowslipstair.model.config.Labels;
+import org.cowslipstair.model.config.Zone;
+import org.cowslipstair.model.config.ZoneName;
+import org.cowslipstair.model.fleet.GatewayName;
+import org.cowslipstair.model.peer.ConfigMessage;
+import org.cowslipstair.port.MonotonicClock;
+import org.cowslipstair.port.PlatformStore;
+import org.cowslipstair.runtime.membership.InstanceListPoller;
+
+/** The part of a gateway that calls the store for configuration and instances. */
+final class WatchingGateway implements ConfigRuntime.Listener, AutoCloseable {
+  private final ExecutorService loop = Executors.newSingleThreadExecutor();
+  final CountingStore store;
+  final ConfigRuntime config;
+  final AtomicInteger contacts = new AtomicInteger();
+  private final ConfigWatcher watcher;
+  private final InstanceListPoller poller;
+
+  WatchingGateway(PlatformStore platform, long seed) {
+    store = new CountingStore(platform);
+    ConfigCore core =
+        new ConfigCore(
+            ConfigSettings.defaults(),
+            stored ->
+                new Zone(
+                    new ZoneName(stored.key().name()),
+                    Labels.empty().with(Labels.STATE, stored.json())),
+            InvariantMonitor.failing());
+    config = new ConfigRuntime(core, loop, MonotonicClock.system(), this);
+    Random random = new Random(seed);
+    watcher = new ConfigWatcher(store, config, StoreBackoff.defaults(), random, () -> false);
+    poller = new InstanceListPoller(store, _ -> {}, StoreBackoff.defaults(), random);
+    watcher.start();
+    poller.start();
+  }
+
+  String stateOf(String zone) {
+    return config
+        .snapshot()
+        .zone(new ZoneName(zone))
+        .flatMap(found -> found.labels().get(Labels.STATE))
+        .orElse("absent");
+  }
+
+  @Override
+  public void send(GatewayName to, ConfigMessage message) {}
+
+  @Override
+  public void broadcast(ConfigMessage message) {}
+
+  @Override
+  public void onConfig(ConfigSnapshot snapshot) {}
+
+  @Override
+  public void onStoreContact() {
+    contacts.incrementAndGet();
+  }
+
+  @Override
+  public void close() {
+    watcher.close();
+    poller.close();
+    loop.shutdownNow();
+  }
+}
