--- a/lib/src/main/java/org/cowslipstair/logic/config/ObjectTable.java
+++ b/lib/src/main/java/org/cowslipstair/logic/config/ObjectTable.java
@@ -42,9 +42,17 @@
    * @param latest newest version
    * @param good newest version that is valid or a tombstone
    * @param object the object that {@code good} describes, unless it is a tombstone
+   * @param invalid what is wrong with {@code latest}
    */
   private record Entry(
-      StoredObject latest, Optional<StoredObject> good, Optional<ConfigObject> object) {
+      StoredObject latest,
+      Optional<StoredObject> good,
+      Optional<ConfigObject> object,
+      Optional<ConfigEvent.ObjectInvalid> invalid) {
+    static Entry valid(StoredObject stored, Optional<ConfigObject> object) {
+      return new Entry(stored, Optional.of(stored), object, Optional.empty());
+    }
+
     boolean isTombstone() {
       return latest.deleted();
     }
@@ -77,32 +85,38 @@
   }
 
   private boolean put(StoredObject stored, Optional<Entry> previous) {
+    entries.put(stored.key(), read(stored, previous));
+    return true;
+  }
+
+  private Entry read(StoredObject stored, Optional<Entry> previous) {
     if (stored.deleted()) {
-      entries.put(stored.key(), new Entry(stored, Optional.of(stored), Optional.empty()));
-      return true;
+      return Entry.valid(stored, Optional.empty());
     }
     try {
-      ConfigObject object = reader.read(stored);
-      entries.put(stored.key(), new Entry(stored, Optional.of(stored), Optional.of(object)));
+      return Entry.valid(stored, Optional.of(reader.read(stored)));
     } catch (InvalidObjectException e) {
-      onInvalid.accept(new ConfigEvent.ObjectInvalid(stored.key(), stored.version(), e.reason()));
-      entries.put(
-          stored.key(),
-          new Entry(stored, previous.flatMap(Entry::good), previous.flatMap(Entry::object)));
+      ConfigEvent.ObjectInvalid invalid =
+          new ConfigEvent.ObjectInvalid(stored.key(), stored.version(), e.reason());
+      onInvalid.accept(invalid);
+      return new Entry(
+          stored,
+          previous.flatMap(Entry::good),
+          previous.flatMap(Entry::object),
+          Optional.of(invalid));
     }
-    return true;
   }
 
   private boolean offerGood(StoredObject offered, Entry held) {
-    boolean latestIsGood = held.good().filter(held.latest()::equals).isPresent();
     boolean newerThanGood = held.good().filter(g -> g.version() >= offered.version()).isEmpty();
-    if (latestIsGood || !newerThanGood) {
+    if (held.invalid().isEmpty() || !newerThanGood) {
       return false;
     }
     try {
       Optional<ConfigObject> object =
           offered.deleted() ? Optional.empty() : Optional.of(reader.read(offered));
-      entries.put(offered.key(), new Entry(held.latest(), Optional.of(offered), object));
+      entries.put(
+          offered.key(), new Entry(held.latest(), Optional.of(offered), object, held.invalid()));
       return true;
     } catch (InvalidObjectException ignored) {
       return false;
@@ -200,18 +214,7 @@
   /** Returns the invalid objects with the reasons. */
   List<ConfigEvent.ObjectInvalid> invalidObjects() {
     List<ConfigEvent.ObjectInvalid> invalid = new ArrayList<>();
-    for (Entry entry : entries.values()) {
-      if (entry.isTombstone()) {
-        continue;
-      }
-      try {
-        reader.read(entry.latest());
-      } catch (InvalidObjectException e) {
-        invalid.add(
-            new ConfigEvent.ObjectInvalid(
-                entry.latest().key(), entry.latest().version(), e.reason()));
-      }
-    }
+    entries.values().forEach(entry -> entry.invalid().ifPresent(invalid::add));
     return invalid;
   }
 
