--- a/adapters/src/main/java/org/cowslipstair/adapters/peer/PeerConnection.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/peer/PeerConnection.java
@@ -3,9 +3,9 @@
 import java.io.IOException;
 import java.net.SocketTimeoutException;
 import java.util.Optional;
-import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
@@ -37,7 +37,7 @@
     this.peer = peer;
     this.dialledHere = dialledHere;
     this.traffic = traffic;
-    this.queue = new ArrayBlockingQueue<>(settings.queueCapacity());
+    this.queue = new LinkedBlockingQueue<>(settings.queueCapacity());
   }
 
   /** What waits to be written. */
--- a/adapters/src/test/java/org/cowslipstair/adapters/peer/MembershipTraffic.java
+++ b/adapters/src/test/java/org/cowslipstair/adapters/peer/MembershipTraffic.java
@@ -55,7 +55,7 @@
     }
     System.out.println(
         "gateways  payload out B/s  payload in B/s  frames out/s"
-            + "  wire out+in B/s  process CPU %  control loop CPU %  (a gateway)");
+            + "  wire out+in B/s  process CPU %  control loop CPU %  heap KB  (a gateway)");
     for (int size : sizes) {
       measure(size);
     }
@@ -105,8 +105,11 @@
     double wire = out + in + (framesOut + framesIn) * (LENGTH_BYTES + 2.0 * HEADER_BYTES);
     double cpu = (after.cpuNs() - before.cpuNs()) / (double) elapsedNs / size * 100;
     double loop = (after.loopNs() - before.loopNs()) / (double) elapsedNs / size * 100;
+    System.gc();
+    Runtime runtime = Runtime.getRuntime();
+    long heapKb = (runtime.totalMemory() - runtime.freeMemory()) / 1024 / size;
     System.out.printf(
-        "%8d  %15.0f  %14.0f  %12.1f  %15.0f  %13.2f  %18.2f%n",
-        size, out, in, framesOut, wire, cpu, loop);
+        "%8d  %15.0f  %14.0f  %12.1f  %15.0f  %13.2f  %18.2f  %7d%n",
+        size, out, in, framesOut, wire, cpu, loop, heapKb);
   }
 }
