Sample limits and leases in the load tool

Cause: waits under the broker had no visible cause. Change: columns for the mean limit, the leased share of the slots and the queue length.

--- a/experiments/src/main/java/org/cowslipstair/experiments/plan/ExperimentRun.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/plan/ExperimentRun.java
@@ -110,14 +110,20 @@
     OpenLoopLoad load = new OpenLoopLoad(plan(percent, phaseMs), sender);
     AtomicReference<Exception> failure = new AtomicReference<>();
     Thread balancer = Thread.ofVirtual().start(() -> followReadiness(sender));
+    LimitSampler sampler = new LimitSampler(fleet);
+    Thread sampling = Thread.ofPlatform().daemon().start(sampler);
     Thread script = Thread.ofVirtual().start(() -> runEvents(events, phaseMs, failure));
     FleetCounts before = FleetCounts.of(fleet);
     long startNs = System.nanoTime();
     load.run();
     script.join();
     balancer.interrupt();
+    sampling.interrupt();
     result.add(
-        load.results().values(), FleetCounts.of(fleet).minus(before), System.nanoTime() - startNs);
+        load.results().values(),
+        sampler.means(),
+        FleetCounts.of(fleet).minus(before),
+        System.nanoTime() - startNs);
     sender.close();
     events.after();
     if (failure.get() != null) {
--- a/experiments/src/main/java/org/cowslipstair/experiments/plan/VariantResult.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/plan/VariantResult.java
@@ -12,14 +12,23 @@
   private final int gateways;
   private FleetCounts counts = new FleetCounts(0, 0, 0, 0, 0, 0, 0, 0, 0);
   private long elapsedNs;
+  private int phases;
+  private double limitShare;
+  private double leaseShare;
+  private double waiting;
 
   VariantResult(int backends, int gateways) {
     this.backends = backends;
     this.gateways = gateways;
   }
 
-  void add(Iterable<ServiceResult> results, FleetCounts phase, long phaseNs) {
+  void add(
+      Iterable<ServiceResult> results, LimitSampler.Means means, FleetCounts phase, long phaseNs) {
     results.forEach(calls::add);
+    phases++;
+    limitShare += means.limitShare();
+    leaseShare += means.leaseShare();
+    waiting += means.waiting();
     counts = counts.plus(phase);
     elapsedNs += phaseNs;
   }
@@ -53,7 +62,10 @@
       decimal(counts.probes() / seconds / backends),
       Long.toString(Math.round(counts.controlBytes() / seconds / gateways)),
       percent(Math.round(counts.controlCpuNs() / (double) gateways), elapsedNs),
-      Long.toString(counts.violations())
+      Long.toString(counts.violations()),
+      decimal(100 * limitShare / Math.max(1, phases)),
+      decimal(100 * leaseShare / Math.max(1, phases)),
+      decimal(waiting / Math.max(1, phases))
     };
   }
 
@@ -76,7 +88,10 @@
       "probes/s/backend",
       "control B/s/node",
       "control cpu %",
-      "violations"
+      "violations",
+      "limit %",
+      "leased %",
+      "queued"
     };
   }
 
