Count cancelled calls as a sign of a slow backend server

Cause: calls that lose to a hedge are cancelled before they are far above the pool's normal, and cancelled calls told nothing. Change: the slot time of cancelled calls since the last normal answer counts with that of running ones; a normal answer forgets it. Tests: PoolBackendsTest (15) and PoolBackendsPropertyTest (2) pass; the new test fails without the change.

--- a/lib/src/main/java/org/cowslipstair/logic/backend/PoolBackends.java
+++ b/lib/src/main/java/org/cowslipstair/logic/backend/PoolBackends.java
@@ -123,7 +123,8 @@
         backend.noteResult(nowNs);
         backend.failed(nowNs);
       }
-      case TIMED_OUT -> timedOut(backend, report.serviceTimeNs(), nowNs);
+      case TIMED_OUT -> timedOut(backend, startNs, report.serviceTimeNs(), nowNs);
+      case CANCELLED -> backend.cancelled(startNs, nowNs);
       default -> {}
     }
   }
@@ -224,9 +225,11 @@
     }
   }
 
-  private void timedOut(TrackedBackend backend, long serviceTimeNs, long nowNs) {
+  private void timedOut(
+      TrackedBackend backend, OptionalLong startNs, long serviceTimeNs, long nowNs) {
     boolean tightDeadline = normal.value().isPresent() && !isFarAbove(serviceTimeNs);
     if (tightDeadline) {
+      backend.cancelled(startNs, nowNs);
       return;
     }
     backend.noteResult(nowNs);
@@ -257,8 +260,7 @@
   private void checkAge(TrackedBackend backend, long nowNs) {
     boolean stuck =
         isFarAbove(backend.unansweredSlotTimeNs(nowNs))
-            && backend.oldestAgeNs(nowNs) >= settings.farAboveFloorNs()
-            && backend.sinceNormalAnswerNs(nowNs) >= settings.farAboveFloorNs();
+            && backend.unansweredForNs(nowNs) >= settings.farAboveFloorNs();
     if (backend.limit() <= 1 || !stuck) {
       return;
     }
--- a/lib/src/main/java/org/cowslipstair/logic/backend/TrackedBackend.java
+++ b/lib/src/main/java/org/cowslipstair/logic/backend/TrackedBackend.java
@@ -36,6 +36,7 @@
   private long loweredAtNs = Long.MIN_VALUE;
   private long lastResultNs;
   private long lastNormalAnswerNs;
+  private long cancelledSlotTimeNs;
   private boolean fresh = true;
 
   TrackedBackend(
@@ -159,24 +160,33 @@
   }
 
   /**
-   * Returns the slot time that running calls have spent since the last answer at normal service
-   * time. Calls that take long while others are answered do not count.
+   * Returns the slot time that running and cancelled calls have spent since the last answer at
+   * normal service time. Calls that take long while others are answered do not count.
    */
   long unansweredSlotTimeNs(long nowNs) {
-    long sumNs = 0;
+    long sumNs = cancelledSlotTimeNs;
     for (long startNs : startNsByLease.values()) {
       sumNs += nowNs - Math.max(startNs, lastNormalAnswerNs);
     }
     return sumNs;
   }
 
-  /** Returns the time since the last answer at normal service time. */
-  long sinceNormalAnswerNs(long nowNs) {
-    return nowNs - lastNormalAnswerNs;
+  /** Returns for how long calls have waited for the next answer at normal service time. */
+  long unansweredForNs(long nowNs) {
+    long sinceNs = nowNs - lastNormalAnswerNs;
+    return cancelledSlotTimeNs > 0 ? sinceNs : Math.min(sinceNs, oldestAgeNs(nowNs));
   }
 
   void answeredNormally(long nowNs) {
     lastNormalAnswerNs = nowNs;
+    cancelledSlotTimeNs = 0;
+  }
+
+  /** Takes a call that ended without an answer and without fault, as one that lost to a hedge. */
+  void cancelled(OptionalLong startNs, long nowNs) {
+    if (startNs.isPresent()) {
+      cancelledSlotTimeNs += nowNs - Math.max(startNs.getAsLong(), lastNormalAnswerNs);
+    }
   }
 
   /** Whether a call that started then may lower the limit: it has not fallen since. */
@@ -326,6 +336,7 @@
       raisedAtNs = nowNs;
     } else if (newLimit < limit) {
       loweredAtNs = nowNs;
+      cancelledSlotTimeNs = 0;
     }
     state = newState;
     limit = newLimit;
--- a/lib/src/test/java/org/cowslipstair/logic/backend/FallMeasurement.java
+++ b/lib/src/test/java/org/cowslipstair/logic/backend/FallMeasurement.java
@@ -45,28 +45,38 @@
     pool.configure(Backends.servers(BACKENDS, SLOTS), Backends.names(BACKENDS), 0);
   }
 
-  /** Prints the measurements. */
+  /**
+   * Prints the measurements.
+   *
+   * @param args name of one kind of fall, or nothing for all measurements
+   */
   public static void main(String[] args) {
     BackendTrackerSettings settings = BackendTrackerSettings.defaults();
-    System.out.println("| noise | slots busy | limits fallen per minute | mean limit of 3 |");
-    System.out.println("| --- | --- | --- | --- |");
-    for (boolean noisy : new boolean[] {false, true}) {
-      for (double load : new double[] {0.4, 0.6, 0.85}) {
-        quiet(settings, noisy, load);
-      }
+    if (args.length == 0) {
+      quiet(settings);
     }
-    System.out.println();
     System.out.println(
         "| fall | noticed after ms, p50 | p99 | calls over one at a time until noticed, mean | most |"
             + " after that, mean | most | not noticed |");
     System.out.println("| --- | --- | --- | --- | --- | --- | --- | --- |");
     for (Fall fall : Fall.values()) {
-      if (fall != Fall.NONE) {
+      if (fall != Fall.NONE && (args.length == 0 || args[0].equals(fall.name()))) {
         falls(settings, fall);
       }
     }
   }
 
+  private static void quiet(BackendTrackerSettings settings) {
+    System.out.println("| noise | slots busy | limits fallen per minute | mean limit of 3 |");
+    System.out.println("| --- | --- | --- | --- |");
+    for (boolean noisy : new boolean[] {false, true}) {
+      for (double load : new double[] {0.4, 0.6, 0.85}) {
+        quiet(settings, noisy, load);
+      }
+    }
+    System.out.println();
+  }
+
   private static void quiet(BackendTrackerSettings settings, boolean noisy, double load) {
     FallMeasurement run = new FallMeasurement(settings, noisy, load, 1);
     run.runFor(WARM_UP_MS);
--- a/lib/src/test/java/org/cowslipstair/logic/backend/PoolBackendsTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/backend/PoolBackendsTest.java
@@ -59,6 +59,18 @@
     assertThat(pool.limit(Backends.name(1)), is(SLOTS));
   }
 
+  @Test
+  void backendWhoseCallsAllLoseToHedgesFalls() {
+    warmAll();
+    for (int i = 0; i < 5; i++) {
+      long started = start(FIRST);
+      answer(Backends.name(1 + i % 4), 2);
+      end(FIRST, started, CallEnd.CANCELLED, 20 * MS);
+      pool.tick(nowNs);
+    }
+    assertThat(pool.limit(FIRST), is(1));
+  }
+
   @Test
   void poolThatIsSlowTogetherKeepsItsLimits() {
     warmAll();
--- a/lib/src/test/java/org/cowslipstair/logic/backend/SimulatedBackend.java
+++ b/lib/src/test/java/org/cowslipstair/logic/backend/SimulatedBackend.java
@@ -22,6 +22,7 @@
   private static final double NOISE_PER_MS = 1 / 500.0;
   private static final int NOISE_MS = 60;
   private static final int NOISE_FACTOR = 3;
+  private static final int HEDGE_WON_MS = 80;
   private static final int HEALTH_LAG_MS = 1_000;
   final BackendName name;
   private final Random random;
@@ -41,6 +42,7 @@
     COLD_COLLAPSES,
     COLD_SHEDS,
     SLOW_TEN_TIMES,
+    SLOW_AND_HEDGED,
     HANGS,
     RESETS
   }
@@ -113,6 +115,11 @@
       call.workMs -= 1 / factor;
       long tookMs = Math.max(1, nowMs - call.startMs);
       boolean reset = fall == Fall.RESETS;
+      if (fall == Fall.SLOW_AND_HEDGED && call.workMs > 0 && tookMs >= HEDGE_WON_MS) {
+        each.remove();
+        ended.add(new Ended(call.lease, report(CallEnd.CANCELLED, tookMs)));
+        continue;
+      }
       if (!reset && call.workMs > 0 && tookMs < TIMEOUT_MS) {
         continue;
       }
@@ -140,7 +147,7 @@
   private double factor(long nowMs) {
     double factor = nowMs < noiseEndMs ? NOISE_FACTOR : 1;
     return switch (fall) {
-      case SLOW_TEN_TIMES -> 10 * factor;
+      case SLOW_TEN_TIMES, SLOW_AND_HEDGED -> 10 * factor;
       case HANGS -> 1e9;
       case COLD_COLLAPSES -> nowMs < collapseEndMs ? COLLAPSE_FACTOR * factor : factor;
       case NONE, COLD_SHEDS, RESETS -> factor;
