Delay the first request of a connection to a stand-in on demand

Opening a connection takes about 1 ms at the users' backend servers, and a loopback connection takes far less. The behaviour connectDelayUs adds the difference to the first request of each connection.

--- a/standins/src/main/java/org/cowslipstair/standins/backend/BackendBehaviour.java
+++ b/standins/src/main/java/org/cowslipstair/standins/backend/BackendBehaviour.java
@@ -11,6 +11,7 @@
  * @param errorPercent share of the calls that fail at once with status 500
  * @param cutPercent share of the answers that are cut off before their end
  * @param cancelNoticeMs time between two looks whether the caller closed its connection
+ * @param connectDelayUs time by which the first request of a connection is late
  */
 public record BackendBehaviour(
     int slots,
@@ -24,7 +25,8 @@
     boolean shedding,
     int errorPercent,
     int cutPercent,
-    long cancelNoticeMs) {
+    long cancelNoticeMs,
+    long connectDelayUs) {
   private static final long DEFAULT_CANCEL_NOTICE_MS = 10;
 
   /** Returns a healthy backend server without bounds on its queue. */
@@ -41,7 +43,8 @@
         false,
         0,
         0,
-        DEFAULT_CANCEL_NOTICE_MS);
+        DEFAULT_CANCEL_NOTICE_MS,
+        0);
   }
 
   /** Returns a copy with another bound on the queue. */
@@ -93,7 +96,26 @@
         shedding,
         newErrorPercent,
         newCutPercent,
-        cancelNoticeMs);
+        cancelNoticeMs,
+        connectDelayUs);
+  }
+
+  /** Returns a copy whose connections take longer to open. */
+  public BackendBehaviour withConnectDelayUs(long newConnectDelayUs) {
+    return new BackendBehaviour(
+        slots,
+        maxQueue,
+        serviceTime,
+        slowFactor,
+        noise,
+        coldStart,
+        reports,
+        draining,
+        shedding,
+        errorPercent,
+        cutPercent,
+        cancelNoticeMs,
+        newConnectDelayUs);
   }
 
   private BackendBehaviour copy(
@@ -116,6 +138,7 @@
         newShedding,
         errorPercent,
         cutPercent,
-        cancelNoticeMs);
+        cancelNoticeMs,
+        connectDelayUs);
   }
 }
--- a/standins/src/main/java/org/cowslipstair/standins/backend/BackendHandler.java
+++ b/standins/src/main/java/org/cowslipstair/standins/backend/BackendHandler.java
@@ -8,11 +8,13 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import java.util.zip.CRC32;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.server.ConnectionMetaData;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -37,6 +39,7 @@
   private static final long DEFAULT_ANSWER_BYTES = 200;
   private static final long DEFAULT_TIMEOUT_MS = TimeUnit.HOURS.toMillis(1);
   private static final long MAX_EARLY_BODY_BYTES = 65_536;
+  private static final String OPENED = BackendHandler.class.getName() + ".opened";
   private static final int READ_BYTES = 16_384;
 
   private final BackendServerStandin standin;
@@ -54,6 +57,7 @@
 
   @Override
   public boolean handle(Request request, Response response, Callback callback) throws Exception {
+    openConnection(request);
     if (control.handle(request, response, callback)) {
       return true;
     }
@@ -187,6 +191,16 @@
     }
   }
 
+  /** Delays the first request of a connection by what opening it takes. */
+  private void openConnection(Request request) {
+    ConnectionMetaData connection = request.getConnectionMetaData();
+    long delayUs = standin.behaviour().connectDelayUs();
+    if (delayUs > 0 && connection.getAttribute(OPENED) == null) {
+      connection.setAttribute(OPENED, true);
+      LockSupport.parkNanos(TimeUnit.MICROSECONDS.toNanos(delayUs));
+    }
+  }
+
   private static boolean hasSmallBody(Request request) {
     long lengthBytes = request.getLength();
     return METHODS_WITHOUT_BODY.contains(request.getMethod())
--- a/standins/src/test/java/org/cowslipstair/standins/backend/BackendServerStandinTest.java
+++ b/standins/src/test/java/org/cowslipstair/standins/backend/BackendServerStandinTest.java
@@ -214,6 +214,18 @@
         is(behaviour(3, SHORT_US).withSlowFactor(4).withNoise(new Noise(200, 0, 1))));
   }
 
+  @Test
+  void onlyTheFirstRequestOfAConnectionIsDelayed() throws Exception {
+    BackendServerStandin standin = start(behaviour(3, SHORT_US).withConnectDelayUs(100_000));
+    long startNs = System.nanoTime();
+    send(request(standin, "first"));
+    long tookNs = System.nanoTime() - startNs;
+    standin.setBehaviour(standin.behaviour().withConnectDelayUs(100_000_000));
+
+    assertThat(tookNs, greaterThan(100_000_000L));
+    assertThat(send(request(standin, "second")).statusCode(), is(200));
+  }
+
   @Test
   void callsAfterTheMarkAreCounted() throws Exception {
     BackendServerStandin standin = start(behaviour(3, SHORT_US));
