--- a/cli/src/main/java/org/cowslipstair/cli/Objects.java
+++ b/cli/src/main/java/org/cowslipstair/cli/Objects.java
@@ -33,9 +33,21 @@
   private static final long FIRST_PAUSE_MS = 20;
 
   private final PlatformStore store;
+  private final Pause pause;
 
   Objects(PlatformStore store) {
+    this(store, TimeUnit.MILLISECONDS::sleep);
+  }
+
+  Objects(PlatformStore store, Pause pause) {
     this.store = store;
+    this.pause = pause;
+  }
+
+  /** Waits before another attempt. */
+  @FunctionalInterface
+  interface Pause {
+    void sleepMs(long ms) throws InterruptedException;
   }
 
   ObjectBatch list() throws CliException {
@@ -135,7 +147,7 @@
     throw lost == null ? new StoreException.Unavailable("delete " + key, "gave up") : lost;
   }
 
-  private static void pause(int attempt) throws InterruptedException {
-    TimeUnit.MILLISECONDS.sleep(FIRST_PAUSE_MS << attempt);
+  private void pause(int attempt) throws InterruptedException {
+    pause.sleepMs(FIRST_PAUSE_MS << attempt);
   }
 }
