Tell a peer of the others when it joins, not when it connects

Change: the roster goes out with the first heartbeat of a peer; constants are taken from the enums. Tests run: MembershipCoreTest (9), MembershipFaultsTest, FleetOverTcpTest (5 times), HostilePeerTest, PeerCodecTest, TcpPeerTransportTest, all pass.

--- a/adapters/src/test/java/org/cowslipstair/adapters/peer/RandomMessages.java
+++ b/adapters/src/test/java/org/cowslipstair/adapters/peer/RandomMessages.java
@@ -57,7 +57,7 @@
                     pool(),
                     number(),
                     number(),
-                    LeaseMessage.WhenFull.values()[random.nextInt(3)],
+                    any(LeaseMessage.WhenFull.values()),
                     new HashSet<>(listOf(this::backend))),
             () -> new LeaseMessage.CancelAcquire(pool(), number()),
             () ->
@@ -67,7 +67,7 @@
                 new LeaseMessage.Refuse(
                     pool(),
                     number(),
-                    LeaseMessage.RefuseReason.values()[random.nextInt(5)],
+                    any(LeaseMessage.RefuseReason.values()),
                     listOf(() -> new LeaseMessage.ZoneFree(zone(), count()))),
             () -> new LeaseMessage.Reuse(pool(), number(), report()),
             () -> new LeaseMessage.Release(pool(), number(), report()),
@@ -123,6 +123,10 @@
     return items;
   }
 
+  private <T> T any(T[] values) {
+    return values[random.nextInt(values.length)];
+  }
+
   private long number() {
     return random.nextLong() >> random.nextInt(64);
   }
@@ -152,7 +156,7 @@
   }
 
   private CallReport report() {
-    return new CallReport(CallEnd.values()[random.nextInt(CallEnd.values().length)], number());
+    return new CallReport(any(CallEnd.values()), number());
   }
 
   private Member member() {
@@ -160,11 +164,11 @@
         new GatewayId(new GatewayName(name("gw")), number()),
         zone(),
         new HostPort(name("host"), random.nextInt(65_536)),
-        MemberState.values()[random.nextInt(3)]);
+        any(MemberState.values()));
   }
 
   private StoredObject object() {
-    ObjectKind kind = ObjectKind.values()[random.nextInt(ObjectKind.values().length)];
+    ObjectKind kind = any(ObjectKind.values());
     return new StoredObject(
         new ObjectKey(kind, name("o")), number(), name("c"), random.nextBoolean(), name("{ü"));
   }
--- a/lib/src/main/java/org/cowslipstair/logic/membership/MembershipCore.java
+++ b/lib/src/main/java/org/cowslipstair/logic/membership/MembershipCore.java
@@ -139,7 +139,6 @@
     membersChanged = true;
     peer.lastHeardNs = nowNs;
     peer.silentAtNs = nowNs + settings.silenceNs(interval());
-    actions.add(new MembershipAction.Send(id.name(), new Roster(roster())));
     sendHeartbeat(List.of(id.name()));
     return finish(nowNs);
   }
@@ -200,9 +199,7 @@
       case Hello _ -> {
         // The transport consumes it.
       }
-      case Heartbeat heartbeat ->
-          membersChanged |=
-              intake.take(Optional.ofNullable(peers.get(from.name())), from, heartbeat, nowNs);
+      case Heartbeat heartbeat -> onHeartbeat(from, heartbeat, nowNs);
       case Roster roster -> roster.members().forEach(this::onRosterMember);
       case Superseded superseded -> {
         if (superseded.by().id().name().equals(self.id().name())) {
@@ -213,6 +210,16 @@
     return finish(nowNs);
   }
 
+  /** Tells a peer that joins of the others, so that of two that join at once one hears of both. */
+  private void onHeartbeat(GatewayId from, Heartbeat heartbeat, long nowNs) {
+    Optional<Peer> peer = Optional.ofNullable(peers.get(from.name()));
+    boolean wasAlive = peer.filter(Peer::isAlive).isPresent();
+    membersChanged |= intake.take(peer, from, heartbeat, nowNs);
+    if (!wasAlive && peer.filter(Peer::isAlive).isPresent()) {
+      actions.add(new MembershipAction.Send(from.name(), new Roster(roster())));
+    }
+  }
+
   private void onRosterMember(Member member) {
     if (!member.id().name().equals(self.id().name())) {
       membersChanged = true;
--- a/lib/src/test/java/org/cowslipstair/logic/membership/MembershipCoreTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/membership/MembershipCoreTest.java
@@ -18,6 +18,7 @@
 import org.cowslipstair.model.fleet.Member;
 import org.cowslipstair.model.fleet.MemberState;
 import org.cowslipstair.model.peer.MembershipMessage.Heartbeat;
+import org.cowslipstair.model.peer.MembershipMessage.Roster;
 import org.cowslipstair.model.peer.MembershipMessage.Superseded;
 import org.junit.jupiter.api.Test;
 
@@ -95,6 +96,21 @@
     assertThat(core.view().member(newer.id().name()).orElseThrow(), is(newer));
   }
 
+  @Test
+  void ofTwoPeersThatJoinAtOnceTheSecondIsToldOfTheFirst() {
+    MembershipCore core = newCore();
+    Member one = FleetChannel.member(1, 1);
+    Member two = FleetChannel.member(2, 1);
+    core.onConnected(one.id(), 0);
+    core.onConnected(two.id(), 0);
+    core.onMessage(two.id(), heartbeat(two, 1), 0);
+
+    List<MembershipAction> actions = core.onMessage(one.id(), heartbeat(one, 1), 0);
+
+    Roster roster = new Roster(List.of(SELF, one, two));
+    assertThat(actions, hasItem(new MembershipAction.Send(one.id().name(), roster)));
+  }
+
   @Test
   void processThatIsSupersededTakesNoWork() {
     MembershipCore core = newCore();
