Let the first calls of a service be retried

Cause: the retry budget of a service started empty, so that the first call after a start of the gateway was refused when its backend server was unreachable. Change: three retries are there from the start; the check counts them. Conclusion: a single stale connection no longer reaches a caller.

--- a/lib/src/main/java/org/cowslipstair/logic/call/CallService.java
+++ b/lib/src/main/java/org/cowslipstair/logic/call/CallService.java
@@ -255,6 +255,7 @@
         new ShareBudget(
             Invariant.RETRY_BUDGET,
             subject,
+            settings.firstRetries(),
             settings.retryShare(),
             settings.retriesPerSecond(),
             settings.retryBurst(),
@@ -263,6 +264,7 @@
         new ShareBudget(
             Invariant.HEDGE_BUDGET,
             subject,
+            0,
             settings.hedgeShare(),
             0,
             settings.hedgeBurst(),
--- a/lib/src/main/java/org/cowslipstair/logic/call/CallSettings.java
+++ b/lib/src/main/java/org/cowslipstair/logic/call/CallSettings.java
@@ -5,6 +5,7 @@
  *
  * @param maxAttempts most times that one call is sent, hedges not counted
  * @param retryShare most retries as a share of the calls of a service
+ * @param firstRetries retries that a service may use before its calls have earned any
  * @param retryBurst retries that a service may save up
  * @param retriesPerSecond retries that a service may use however few its calls are
  * @param hedgeShare most hedges as a share of the calls of a service
@@ -17,6 +18,7 @@
 public record CallSettings(
     int maxAttempts,
     double retryShare,
+    double firstRetries,
     double retryBurst,
     double retriesPerSecond,
     double hedgeShare,
@@ -27,6 +29,6 @@
 
   /** Returns the settings used where operators set nothing. */
   public static CallSettings defaults() {
-    return new CallSettings(3, 0.10, 10, 1, 0.05, 5, 1_000_000L, 64 * 1024, 2_000);
+    return new CallSettings(3, 0.10, 3, 10, 1, 0.05, 5, 1_000_000L, 64 * 1024, 2_000);
   }
 }
--- a/lib/src/main/java/org/cowslipstair/logic/call/ShareBudget.java
+++ b/lib/src/main/java/org/cowslipstair/logic/call/ShareBudget.java
@@ -15,6 +15,7 @@
   private static final double ROUNDING = 1e-6;
   private final Invariant invariant;
   private final String subject;
+  private final double first;
   private final long perCallMicro;
   private final double perSecond;
   private final long capacityMicro;
@@ -26,8 +27,9 @@
   private final AtomicLong taken = new AtomicLong();
 
   /**
-   * Creates an empty bucket.
+   * Creates a bucket.
    *
+   * @param first tokens that are there from the start
    * @param share tokens that one call adds
    * @param perSecond tokens that a second adds
    * @param capacity most tokens that are saved up
@@ -35,6 +37,7 @@
   ShareBudget(
       Invariant invariant,
       String subject,
+      double first,
       double share,
       double perSecond,
       double capacity,
@@ -42,6 +45,8 @@
       long nowNs) {
     this.invariant = invariant;
     this.subject = subject;
+    this.first = first;
+    this.tokensMicro.set((long) (first * MICRO_TOKENS));
     this.perCallMicro = (long) (share * MICRO_TOKENS);
     this.perSecond = perSecond;
     this.capacityMicro = (long) (capacity * MICRO_TOKENS);
@@ -97,7 +102,7 @@
     long latestNs = Math.max(nowNs, filledAtNs.get());
     double seconds = (latestNs - createdAtNs) / NS_PER_SECOND;
     double fromCalls = (double) calls.get() * perCallMicro / MICRO_TOKENS;
-    long allowed = (long) Math.floor(fromCalls + seconds * perSecond + ROUNDING);
+    long allowed = (long) Math.floor(first + fromCalls + seconds * perSecond + ROUNDING);
     monitor.checkAtMost(invariant, subject, takenNow, allowed);
   }
 }
