--- a/cli/src/main/java/org/cowslipstair/cli/ApplyCommand.java
+++ b/cli/src/main/java/org/cowslipstair/cli/ApplyCommand.java
@@ -1,7 +1,6 @@
 package org.cowslipstair.cli;
 
 import com.beust.jcommander.Parameter;
-import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -18,7 +17,6 @@
 import org.cowslipstair.port.StoreException;
 
 /** Writes the objects of files to the store; validates everything before the first write. */
-@Parameters(commandDescription = "write objects from TOML files: apply -f DIR|FILE [--dry-run]")
 final class ApplyCommand implements Command {
   @ParametersDelegate private final CommonOptions common = new CommonOptions();
 
@@ -28,6 +26,11 @@
   @Parameter(names = "--dry-run", description = "only show what would change")
   private boolean dryRun;
 
+  @Override
+  public String summary() {
+    return "write objects from TOML files: apply -f DIR|FILE [--dry-run]";
+  }
+
   @Override
   public CommonOptions common() {
     return common;
--- a/cli/src/main/java/org/cowslipstair/cli/CheckCommand.java
+++ b/cli/src/main/java/org/cowslipstair/cli/CheckCommand.java
@@ -1,7 +1,6 @@
 package org.cowslipstair.cli;
 
 import com.beust.jcommander.Parameter;
-import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
 import java.io.IOException;
 import java.nio.file.Path;
@@ -10,13 +9,17 @@
 import org.cowslipstair.logic.object.ReferenceCheck;
 
 /** Validates files without a store. */
-@Parameters(commandDescription = "validate TOML files without a store: check -f DIR|FILE")
 final class CheckCommand implements Command {
   @ParametersDelegate private final CommonOptions common = new CommonOptions();
 
   @Parameter(names = "-f", required = true, description = "file or directory of files")
   private Path from = Path.of(".");
 
+  @Override
+  public String summary() {
+    return "validate TOML files without a store: check -f DIR|FILE";
+  }
+
   @Override
   public CommonOptions common() {
     return common;
--- a/cli/src/main/java/org/cowslipstair/cli/Cli.java
+++ b/cli/src/main/java/org/cowslipstair/cli/Cli.java
@@ -50,7 +50,7 @@
     commands.forEach(builder::addCommand);
     JCommander commander = builder.build();
     if (arguments.length == 0 || "help".equals(arguments[0]) || "--help".equals(arguments[0])) {
-      printUsage(commander);
+      printSummaries(commands);
       return arguments.length == 0 ? ExitCode.USAGE : ExitCode.OK;
     }
     try {
@@ -62,10 +62,11 @@
     String name = commander.getParsedCommand();
     Command command = commands.get(name);
     if (command == null) {
-      printUsage(commander);
+      printSummaries(commands);
       return ExitCode.USAGE;
     }
     if (command.common().isHelp()) {
+      out.println(command.summary());
       printUsage(commander.getCommands().get(name));
       return ExitCode.OK;
     }
@@ -83,6 +84,15 @@
     }
   }
 
+  private void printSummaries(Map<String, Command> commands) {
+    out.printf("Usage: %s COMMAND [ARGUMENT ...] [OPTION ...]%n%n", PROGRAM);
+    commands.forEach((name, command) -> out.printf("  %-10s%s%n", name, command.summary()));
+    out.printf("  %-10s%s%n", "demo", "run a whole fleet in one process and check its promises");
+    out.printf("  %-10s%s%n%n", "load", "run experiments and compare policies");
+    out.printf("Options of a command: %s COMMAND --help%n", PROGRAM);
+    out.print(EXIT_CODES);
+  }
+
   private void printUsage(JCommander commander) {
     StringBuilder text = new StringBuilder();
     commander.getUsageFormatter().usage(text);
--- a/cli/src/main/java/org/cowslipstair/cli/DeleteCommand.java
+++ b/cli/src/main/java/org/cowslipstair/cli/DeleteCommand.java
@@ -1,7 +1,6 @@
 package org.cowslipstair.cli;
 
 import com.beust.jcommander.Parameter;
-import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -14,13 +13,17 @@
 import org.cowslipstair.port.StoreException;
 
 /** Deletes one object that no other refers to. */
-@Parameters(commandDescription = "delete an object: delete KIND NAME")
 final class DeleteCommand implements Command {
   @ParametersDelegate private final CommonOptions common = new CommonOptions();
 
   @Parameter(description = "KIND NAME", required = true)
   private List<String> arguments = new ArrayList<>();
 
+  @Override
+  public String summary() {
+    return "delete an object: delete KIND NAME";
+  }
+
   @Override
   public CommonOptions common() {
     return common;
--- a/cli/src/main/java/org/cowslipstair/cli/DescribeCommand.java
+++ b/cli/src/main/java/org/cowslipstair/cli/DescribeCommand.java
@@ -1,7 +1,6 @@
 package org.cowslipstair.cli;
 
 import com.beust.jcommander.Parameter;
-import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -15,7 +14,6 @@
 import org.cowslipstair.model.config.StoredObject;
 
 /** Shows one object whole. */
-@Parameters(commandDescription = "show an object whole: describe KIND NAME")
 final class DescribeCommand implements Command {
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -24,6 +22,11 @@
   @Parameter(description = "KIND NAME", required = true, arity = 2)
   private List<String> arguments = new ArrayList<>();
 
+  @Override
+  public String summary() {
+    return "show an object whole: describe KIND NAME";
+  }
+
   @Override
   public CommonOptions common() {
     return common;
--- a/cli/src/main/java/org/cowslipstair/cli/DumpCommand.java
+++ b/cli/src/main/java/org/cowslipstair/cli/DumpCommand.java
@@ -1,7 +1,6 @@
 package org.cowslipstair.cli;
 
 import com.beust.jcommander.Parameter;
-import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -9,13 +8,17 @@
 import java.util.List;
 
 /** Shows the whole state of gateways. */
-@Parameters(commandDescription = "show the whole state of one or all gateways: dump [GATEWAY]")
 final class DumpCommand implements Command {
   @ParametersDelegate private final CommonOptions common = new CommonOptions();
 
   @Parameter(description = "[GATEWAY]")
   private List<String> arguments = new ArrayList<>();
 
+  @Override
+  public String summary() {
+    return "show the whole state of one or all gateways: dump [GATEWAY]";
+  }
+
   @Override
   public CommonOptions common() {
     return common;
--- a/cli/src/main/java/org/cowslipstair/cli/ExplainCommand.java
+++ b/cli/src/main/java/org/cowslipstair/cli/ExplainCommand.java
@@ -1,7 +1,6 @@
 package org.cowslipstair.cli;
 
 import com.beust.jcommander.Parameter;
-import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -10,13 +9,17 @@
 import java.util.List;
 
 /** Shows why a call went where it went. */
-@Parameters(commandDescription = "show why a call went where it went: explain REQUEST_ID")
 final class ExplainCommand implements Command {
   @ParametersDelegate private final CommonOptions common = new CommonOptions();
 
   @Parameter(description = "REQUEST_ID", required = true)
   private List<String> arguments = new ArrayList<>();
 
+  @Override
+  public String summary() {
+    return "show why a call went where it went: explain REQUEST_ID";
+  }
+
   @Override
   public CommonOptions common() {
     return common;
--- a/cli/src/main/java/org/cowslipstair/cli/GetCommand.java
+++ b/cli/src/main/java/org/cowslipstair/cli/GetCommand.java
@@ -1,7 +1,6 @@
 package org.cowslipstair.cli;
 
 import com.beust.jcommander.Parameter;
-import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
 import java.util.ArrayList;
 import java.util.List;
@@ -21,13 +20,17 @@
 import org.cowslipstair.model.config.Zone;
 
 /** Lists objects. */
-@Parameters(commandDescription = "list objects: get [KIND [NAME]]")
 final class GetCommand implements Command {
   @ParametersDelegate private final CommonOptions common = new CommonOptions();
 
   @Parameter(description = "[KIND [NAME]]")
   private List<String> arguments = new ArrayList<>();
 
+  @Override
+  public String summary() {
+    return "list objects: get [KIND [NAME]]";
+  }
+
   @Override
   public CommonOptions common() {
     return common;
--- a/cli/src/main/java/org/cowslipstair/cli/LabelCommand.java
+++ b/cli/src/main/java/org/cowslipstair/cli/LabelCommand.java
@@ -1,14 +1,12 @@
 package org.cowslipstair.cli;
 
 import com.beust.jcommander.Parameter;
-import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
 import java.util.ArrayList;
 import java.util.List;
 import org.cowslipstair.model.config.ObjectKey;
 
 /** Sets and removes labels of an object. */
-@Parameters(commandDescription = "change labels: label KIND NAME key=value ... key- ...")
 final class LabelCommand implements Command {
   private static final int FIRST_LABEL = 2;
 
@@ -17,6 +15,11 @@
   @Parameter(description = "KIND NAME key=value ... key- ...", required = true)
   private List<String> arguments = new ArrayList<>();
 
+  @Override
+  public String summary() {
+    return "change labels: label KIND NAME key=value ... key- ...";
+  }
+
   @Override
   public CommonOptions common() {
     return common;
--- a/cli/src/main/java/org/cowslipstair/cli/StateCommand.java
+++ b/cli/src/main/java/org/cowslipstair/cli/StateCommand.java
@@ -1,7 +1,6 @@
 package org.cowslipstair.cli;
 
 import com.beust.jcommander.Parameter;
-import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
 import java.util.ArrayList;
 import java.util.List;
@@ -11,7 +10,6 @@
 import org.cowslipstair.model.config.ObjectKind;
 
 /** Takes a zone or a backend server out of service and back, by its label {@code state}. */
-@Parameters
 final class StateCommand implements Command {
   private final Subject subject;
 
@@ -26,15 +24,28 @@
 
   /** What is taken out, and the verbs for it. */
   enum Subject {
-    ZONE(ObjectKind.ZONE, "out", "in", Labels.STATE_OUT),
-    BACKEND(ObjectKind.BACKEND_SERVER, "leave", "join", Labels.STATE_LEAVING);
+    ZONE(
+        "take a zone out of service or bring it back: zone out NAME, zone in NAME",
+        ObjectKind.ZONE,
+        "out",
+        "in",
+        Labels.STATE_OUT),
+    BACKEND(
+        "end new calls of a backend server or allow them: backend leave NAME, backend join NAME",
+        ObjectKind.BACKEND_SERVER,
+        "leave",
+        "join",
+        Labels.STATE_LEAVING);
+
+    private final String summary;
 
     private final ObjectKind kind;
     private final String outVerb;
     private final String inVerb;
     private final String outState;
 
-    Subject(ObjectKind kind, String outVerb, String inVerb, String outState) {
+    Subject(String summary, ObjectKind kind, String outVerb, String inVerb, String outState) {
+      this.summary = summary;
       this.kind = kind;
       this.outVerb = outVerb;
       this.inVerb = inVerb;
@@ -56,6 +67,11 @@
     }
   }
 
+  @Override
+  public String summary() {
+    return subject.summary;
+  }
+
   @Override
   public CommonOptions common() {
     return common;
--- a/cli/src/main/java/org/cowslipstair/cli/StatusCommand.java
+++ b/cli/src/main/java/org/cowslipstair/cli/StatusCommand.java
@@ -1,6 +1,5 @@
 package org.cowslipstair.cli;
 
-import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -10,7 +9,6 @@
 import org.cowslipstair.port.PlatformStore.ObjectBatch;
 
 /** Shows which configuration each gateway has in force, and the pools that have a broker. */
-@Parameters(commandDescription = "show each gateway: version in force, lag, pools, limits")
 final class StatusCommand implements Command {
   private static final List<String> GATEWAY_HEADERS =
       List.of("gateway", "zone", "state", "revision", "lag", "inProgress", "brokerOf", "problem");
@@ -20,6 +18,11 @@
 
   @ParametersDelegate private final CommonOptions common = new CommonOptions();
 
+  @Override
+  public String summary() {
+    return "show each gateway: version in force, lag, pools, limits";
+  }
+
   @Override
   public CommonOptions common() {
     return common;
--- a/cli/src/main/java/org/cowslipstair/cli/StoreCommand.java
+++ b/cli/src/main/java/org/cowslipstair/cli/StoreCommand.java
@@ -1,13 +1,11 @@
 package org.cowslipstair.cli;
 
 import com.beust.jcommander.Parameter;
-import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
 import java.util.ArrayList;
 import java.util.List;
 
 /** Tells gateways to follow a store that they refused after it was restored. */
-@Parameters(commandDescription = "follow a restored store: store accept STORE_ID")
 final class StoreCommand implements Command {
   private static final String ACCEPTED = "accept STORE_ID";
 
@@ -16,6 +14,11 @@
   @Parameter(description = ACCEPTED, required = true)
   private List<String> arguments = new ArrayList<>();
 
+  @Override
+  public String summary() {
+    return "follow a restored store: store accept STORE_ID";
+  }
+
   @Override
   public CommonOptions common() {
     return common;
--- a/cli/src/test/java/org/cowslipstair/cli/CliTest.java
+++ b/cli/src/test/java/org/cowslipstair/cli/CliTest.java
@@ -184,6 +184,8 @@
     assertThat(output(), containsString("broker; backends: app = watch; zones: region = tz-north"));
     assertThat(run("describe", "backend-server", "watch-1"), is(ExitCode.OK));
     assertThat(output(), containsString("  slots: 3"));
+    assertThat(run("help"), is(ExitCode.OK));
+    assertThat(output(), containsString("zone out NAME, zone in NAME"));
     assertThat(run("label", "--help"), is(ExitCode.OK));
     assertThat(output(), containsString("--wait-seconds"));
   }
--- a/standins/src/main/java/org/cowslipstair/standins/StandinMain.java
+++ b/standins/src/main/java/org/cowslipstair/standins/StandinMain.java
@@ -30,6 +30,10 @@
             .addCommand("backend", backend)
             .addCommand("backends", backends)
             .build();
+    if (args.length > 0 && "--help".equals(args[0])) {
+      commander.usage();
+      return;
+    }
     try {
       commander.parse(args);
       String command = String.valueOf(commander.getParsedCommand());
