Divide cold backends between the sides of a partition

Cause: in a partition both sides' brokers sent a call to each cold backend; it shall get no more than it can bear. Change: ColdSlotOwners gives each cold backend to one gateway of the fleet before members were lost; only that side grants its slots, for 30 s. Tests: two more in BrokerCoreTest; Broker*, Lessee*, Lease* passed.

--- a/lib/src/main/java/org/cowslipstair/logic/broker/BrokerCore.java
+++ b/lib/src/main/java/org/cowslipstair/logic/broker/BrokerCore.java
@@ -61,12 +61,13 @@
       PoolId pool,
       BrokerSettings settings,
       PoolBackends backends,
+      ColdSlotOwners coldOwners,
       RandomGenerator random,
       InvariantMonitor monitor) {
     this.pool = pool;
     this.settings = settings;
     this.backends = backends;
-    leases = new SlotLeases(pool, settings, backends, recovery, random, monitor);
+    leases = new SlotLeases(pool, settings, backends, recovery, coldOwners, random, monitor);
     takeover = new LeaseTakeover(pool, settings, backends, recovery, leases);
   }
 
@@ -192,7 +193,8 @@
     if (queue.contains(key)) {
       return;
     }
-    if (leases.completed().contains(key) || key.requestNumber() < takeover.floor(from)) {
+    boolean over = granted.isPresent() || leases.completed().contains(key);
+    if (over || key.requestNumber() < takeover.floor(from)) {
       refuse(from, acquire.requestNumber(), RefuseReason.FULL);
       return;
     }
--- a/lib/src/main/java/org/cowslipstair/logic/broker/SlotLeases.java
+++ b/lib/src/main/java/org/cowslipstair/logic/broker/SlotLeases.java
@@ -39,6 +39,7 @@
       BrokerSettings settings,
       PoolBackends backends,
       TermRecovery recovery,
+      ColdSlotOwners coldOwners,
       RandomGenerator random,
       InvariantMonitor monitor) {
     this.pool = pool;
@@ -46,7 +47,7 @@
     this.backends = backends;
     this.recovery = recovery;
     this.monitor = monitor;
-    picker = new SlotPicker(backends, table, recovery, random);
+    picker = new SlotPicker(backends, table, recovery, coldOwners, random);
   }
 
   void configure(Set<BackendName> takingNewCalls, long longestCallNs) {
@@ -206,6 +207,7 @@
         CallReport cancelled = new CallReport(CallEnd.CANCELLED, 0);
         backends.ended(entry.backend(), entry.number(), cancelled, nowNs);
         table.endCall(entry, nowNs + settings.cancelGraceNs());
+        completed.add(entry.key(), nowNs);
       }
     }
   }
--- a/lib/src/main/java/org/cowslipstair/logic/broker/SlotPicker.java
+++ b/lib/src/main/java/org/cowslipstair/logic/broker/SlotPicker.java
@@ -18,12 +18,18 @@
   private final PoolBackends backends;
   private final LeaseTable table;
   private final TermRecovery recovery;
+  private final ColdSlotOwners coldOwners;
   private final RandomGenerator random;
   private List<BackendName> members = List.of();
   private int grantsSinceTrial;
 
   SlotPicker(
-      PoolBackends backends, LeaseTable table, TermRecovery recovery, RandomGenerator random) {
+      PoolBackends backends,
+      LeaseTable table,
+      TermRecovery recovery,
+      ColdSlotOwners coldOwners,
+      RandomGenerator random) {
+    this.coldOwners = coldOwners;
     this.backends = backends;
     this.table = table;
     this.recovery = recovery;
@@ -40,6 +46,10 @@
 
   /** Returns how many more leases a backend server may get now. */
   int free(BackendName backend) {
+    boolean warm = backends.state(backend) instanceof BackendState.Warm;
+    if (!warm && !coldOwners.isOnThisSide(backend)) {
+      return 0;
+    }
     int bound = Math.min(backends.limit(backend), recovery.bound(backend));
     return Math.max(0, bound - table.out(backend));
   }
--- a/lib/src/main/java/org/cowslipstair/logic/broker/TermRecovery.java
+++ b/lib/src/main/java/org/cowslipstair/logic/broker/TermRecovery.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.cowslipstair.model.config.BackendName;
@@ -88,12 +89,12 @@
   }
 
   /** Returns the peers to ask for their leases now. */
-  Set<GatewayId> toAsk(long nowNs, long retryNs) {
+  List<GatewayId> toAsk(long nowNs, long retryNs) {
     if (complete || awaited.isEmpty() || nowNs < nextRequestAtNs) {
-      return Set.of();
+      return List.of();
     }
     nextRequestAtNs = nowNs + retryNs;
-    return Set.copyOf(awaited);
+    return List.copyOf(awaited);
   }
 
   int awaitedCount() {
--- a/lib/src/main/java/org/cowslipstair/runtime/lease/BrokerSet.java
+++ b/lib/src/main/java/org/cowslipstair/runtime/lease/BrokerSet.java
@@ -15,6 +15,7 @@
 import org.cowslipstair.logic.broker.BrokerCore;
 import org.cowslipstair.logic.broker.BrokerSettings;
 import org.cowslipstair.logic.broker.BrokerStatus;
+import org.cowslipstair.logic.broker.ColdSlotOwners;
 import org.cowslipstair.logic.invariant.InvariantMonitor;
 import org.cowslipstair.logic.membership.BrokerPlacement;
 import org.cowslipstair.logic.membership.FleetView;
@@ -40,6 +41,8 @@
   private final InvariantMonitor monitor;
   private final Map<PoolId, BrokerCore> cores = new TreeMap<>();
   private final Map<PoolId, Integer> free = new HashMap<>();
+  private final ColdSlotOwners coldOwners =
+      new ColdSlotOwners(BrokerSettings.defaults().rememberLostNs());
 
   BrokerSet(GatewayId self, RandomGenerator random, InvariantMonitor monitor) {
     this.self = self;
@@ -49,6 +52,7 @@
 
   /** Starts and ends terms so that this gateway runs the brokers that the view gives it. */
   List<BrokerAction> onView(FleetView view, ConfigSnapshot snapshot, long nowNs) {
+    coldOwners.onView(view, nowNs);
     List<BrokerAction> actions = new ArrayList<>();
     for (PoolId pool : snapshot.pools()) {
       core(pool, snapshot, nowNs);
@@ -91,7 +95,8 @@
       settings = settings.withProbesPerSecond(service.get().probesPerSecond());
     }
     PoolBackends backends = new PoolBackends(pool, settings, random, monitor);
-    BrokerCore core = new BrokerCore(pool, BrokerSettings.defaults(), backends, random, monitor);
+    BrokerCore core =
+        new BrokerCore(pool, BrokerSettings.defaults(), backends, coldOwners, random, monitor);
     cores.put(pool, core);
     configure(pool, core, snapshot, nowNs);
     return core;
@@ -152,6 +157,7 @@
   }
 
   List<BrokerAction> tick(long nowNs) {
+    coldOwners.tick(nowNs);
     List<BrokerAction> actions = new ArrayList<>();
     cores.values().forEach(core -> actions.addAll(core.tick(nowNs)));
     return actions;
--- a/lib/src/test/java/org/cowslipstair/logic/broker/BrokerCoreTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/broker/BrokerCoreTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
@@ -55,12 +56,14 @@
   private static final GatewayId PEER = new GatewayId(new GatewayName("g1"), 1);
   private static final GatewayId OTHER = new GatewayId(new GatewayName("g2"), 1);
   private static final BackendName B0 = new BackendName("b0");
+  private final ColdSlotOwners coldOwners = new ColdSlotOwners(30_000 * NS_PER_MS);
   private final BrokerCore broker =
       new BrokerCore(
           POOL,
           BrokerSettings.defaults(),
           new PoolBackends(
               POOL, BackendTrackerSettings.defaults(), new Random(1), InvariantMonitor.failing()),
+          coldOwners,
           new Random(1),
           InvariantMonitor.failing());
   private long nowNs = 1;
@@ -163,6 +166,38 @@
     assertThat(broker.free(), is(1));
   }
 
+  @Test
+  void gatewayTakenForDeadGetsNoSecondGrantForItsRequest() {
+    startRecovered(2);
+    send(PEER, acquire(1, 100, WhenFull.REFUSE));
+    broker.onView(view(SELF, OTHER), nowNs);
+    broker.onView(view(SELF, PEER, OTHER), nowNs);
+
+    List<LeaseMessage> again = send(PEER, acquire(1, 90, WhenFull.WAIT));
+
+    assertThat(again.getFirst(), instanceOf(Refuse.class));
+    assertThat(broker.free(), is(1));
+  }
+
+  @Test
+  void coldBackendsBelongToOneSideOfAPartition() {
+    configure(30);
+    coldOwners.onView(view(SELF, PEER, OTHER), nowNs);
+    startRecovered(30);
+    assertThat(broker.free(), is(30));
+
+    coldOwners.onView(view(SELF), nowNs);
+    int here = broker.free();
+    coldOwners.onView(view(SELF, PEER, OTHER), nowNs);
+    coldOwners.onView(view(PEER, OTHER), nowNs);
+    int there = broker.free();
+
+    assertThat(here + there, is(30));
+    assertThat(here, greaterThan(0));
+    coldOwners.tick(nowNs + 30_000 * NS_PER_MS);
+    assertThat(broker.free(), is(30));
+  }
+
   @Test
   void earliestDeadlineIsServedFirstAndHopelessWaitsAreRefusedAtOnce() {
     startRecovered(1);
