--- a/adapters/src/main/java/org/cowslipstair/adapters/http/BackendConnections.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/http/BackendConnections.java
@@ -38,6 +38,11 @@
     return bound.tryAcquire() || bound.tryAcquire(timeoutNs, TimeUnit.NANOSECONDS);
   }
 
+  /** Returns whether no call uses a connection and none is open. */
+  boolean isUnused() {
+    return bound.isWhole() && pool().connectionCount() == 0;
+  }
+
   void release() {
     bound.release();
   }
@@ -50,6 +55,10 @@
       super(0);
     }
 
+    boolean isWhole() {
+      return availablePermits() == size;
+    }
+
     /** Follows a bound that changes with the number of gateways. */
     void resize(int wanted) {
       if (size == wanted) {
--- a/adapters/src/main/java/org/cowslipstair/adapters/http/OkHttpBackendTransport.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/http/OkHttpBackendTransport.java
@@ -87,9 +87,12 @@
 
   private BackendConnections connectionsTo(BackendServer backend) {
     BackendConnections known = backends.get(backend.address());
-    return known != null
-        ? known
-        : backends.computeIfAbsent(backend.address(), _ -> new BackendConnections(client, limits));
+    if (known != null) {
+      return known;
+    }
+    // Backend servers come and go; those that are gone have no connections left.
+    backends.values().removeIf(BackendConnections::isUnused);
+    return backends.computeIfAbsent(backend.address(), _ -> new BackendConnections(client, limits));
   }
 
   /** Tries again only when a pooled connection turned out stale before a byte was sent. */
@@ -170,6 +173,11 @@
     return count;
   }
 
+  /** Returns the number of backend servers that something is remembered of. */
+  public int backendCount() {
+    return backends.size();
+  }
+
   /** Closes the connections that no call uses. */
   public void closeIdleConnections() {
     for (BackendConnections connections : backends.values()) {
--- a/adapters/src/test/java/org/cowslipstair/adapters/http/AtMostOnceTest.java
+++ b/adapters/src/test/java/org/cowslipstair/adapters/http/AtMostOnceTest.java
@@ -88,6 +88,7 @@
       RawCaller.call(edge.port(), RawCaller.post("/", "r---", "order----"));
       int requestBytes = backend.received().getLast().wireBytes();
       assertThat(requestBytes, greaterThan(100));
+      edge.transport.closeIdleConnections();
       for (cutAt = pooled ? 1 : 0; cutAt <= requestBytes; cutAt++) {
         if (pooled) {
           assertThat(RawCaller.call(edge.port(), RawCaller.get("/")).status(), is(200));
--- a/adapters/src/test/java/org/cowslipstair/adapters/http/CallerServerTest.java
+++ b/adapters/src/test/java/org/cowslipstair/adapters/http/CallerServerTest.java
@@ -9,6 +9,7 @@
 import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.startsWith;
 
+import java.net.Socket;
 import java.util.List;
 import java.util.Optional;
 import org.cowslipstair.adapters.http.RawBackend.Received;
@@ -80,9 +81,8 @@
 
   @Test
   void refusalIsAProblemWithOutcomeAndRetryAfter() throws Exception {
-    RawBackend gone = new RawBackend(link -> {});
-    gone.close();
-    try (Edge edge = new Edge(gone.server())) {
+    try (Socket deaf = RawBackend.deafSocket();
+        Edge edge = new Edge(RawBackend.serverAt(deaf.getLocalPort()))) {
       Answer answer = RawCaller.call(edge.port(), RawCaller.get("/"));
 
       assertThat(answer.status(), is(503));
--- a/adapters/src/test/java/org/cowslipstair/adapters/http/OkHttpBackendTransportTest.java
+++ b/adapters/src/test/java/org/cowslipstair/adapters/http/OkHttpBackendTransportTest.java
@@ -10,12 +10,14 @@
 import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import org.cowslipstair.model.call.HeaderField;
+import org.cowslipstair.model.config.BackendServer;
 import org.cowslipstair.port.BackendException;
 import org.cowslipstair.port.BackendTransport.BackendAnswer;
 import org.cowslipstair.port.BackendTransport.BackendCall;
@@ -128,10 +130,11 @@
   }
 
   @Test
-  void connectionThatIsRefusedOrClosedAtOnceSentNothing() throws Exception {
-    RawBackend gone = new RawBackend(link -> {});
-    gone.close();
-    assertThrows(BackendException.NotSent.class, () -> fetch(gone, post("x")));
+  void connectionThatIsRefusedSentNothing() throws Exception {
+    try (Socket deaf = RawBackend.deafSocket()) {
+      BackendServer server = RawBackend.serverAt(deaf.getLocalPort());
+      assertThrows(BackendException.NotSent.class, () -> transport.send(server, post("x")));
+    }
   }
 
   @Test
@@ -287,6 +290,18 @@
     }
   }
 
+  @Test
+  void backendsThatAreGoneAreForgotten() throws Exception {
+    for (int i = 0; i < 5; i++) {
+      try (RawBackend backend = new RawBackend(RawBackend.answering(r -> RawBackend.ok("abc")))) {
+        assertThat(fetch(backend, get()), is("abc"));
+        transport.closeIdleConnections();
+      }
+    }
+    assertThat(transport.backendCount(), is(1));
+    assertThat(transport.connectionCount(), is(0));
+  }
+
   @Test
   void callerThatBreaksOffItsBodyIsToldApart() throws Exception {
     try (RawBackend backend = new RawBackend(link -> link.read())) {
--- a/adapters/src/test/java/org/cowslipstair/adapters/http/RawBackend.java
+++ b/adapters/src/test/java/org/cowslipstair/adapters/http/RawBackend.java
@@ -7,6 +7,7 @@
 import java.io.InputStream;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -81,15 +82,26 @@
   }
 
   BackendServer server() {
+    return serverAt(listener.getLocalPort());
+  }
+
+  static BackendServer serverAt(int port) {
     return new BackendServer(
         new BackendName("raw"),
         new Labels(new LinkedHashMap<>()),
         new ZoneName("zone-a"),
-        new HostPort("127.0.0.1", listener.getLocalPort()),
+        new HostPort("127.0.0.1", port),
         2,
         260);
   }
 
+  /** Takes a port on which nobody listens, and which nobody else gets meanwhile. */
+  static Socket deafSocket() throws IOException {
+    Socket socket = new Socket();
+    socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    return socket;
+  }
+
   int connections() {
     return connections.get();
   }
