Measure noticed falls for the pools of today's sizes

Cause: the figures were for 14 backend servers in one pool, while a pool is one zone of a service: about five with 3 slots, or two with 2.

--- a/lib/src/test/java/org/cowslipstair/logic/backend/FallMeasurement.java
+++ b/lib/src/test/java/org/cowslipstair/logic/backend/FallMeasurement.java
@@ -17,14 +17,13 @@
  * without cause. Run its main method; it prints a table in Markdown.
  */
 public final class FallMeasurement {
-  private static final int BACKENDS = 14;
-  private static final int SLOTS = 3;
   private static final int MEAN_MS = 20;
   private static final int TICK_MS = 5;
   private static final int WARM_UP_MS = 20_000;
   private static final int WATCH_MS = 20_000;
   private static final int QUIET_MS = 300_000;
   private static final int FALLS = 200;
+  private final Shape shape;
   private final PoolBackends pool;
   private final List<SimulatedBackend> backends = new ArrayList<>();
   private final Queue<Long> waiting = new ArrayDeque<>();
@@ -35,69 +34,73 @@
   private long drops;
   private long limitSum;
 
-  private FallMeasurement(BackendTrackerSettings settings, boolean noisy, double load, long seed) {
+  private FallMeasurement(Shape shape, boolean noisy, double load, long seed) {
+    this.shape = shape;
     random = new Random(seed);
-    pool = Backends.pool(settings, seed);
-    callsPerMs = load * BACKENDS * SLOTS / MEAN_MS;
-    for (int i = 0; i < BACKENDS; i++) {
-      backends.add(new SimulatedBackend(i, noisy, random));
+    pool = Backends.pool(BackendTrackerSettings.defaults(), seed);
+    callsPerMs = load * shape.backends() * shape.slots() / MEAN_MS;
+    for (int i = 0; i < shape.backends(); i++) {
+      backends.add(new SimulatedBackend(i, shape.slots(), noisy, random));
     }
-    pool.configure(Backends.servers(BACKENDS, SLOTS), Backends.names(BACKENDS), 0);
+    pool.configure(
+        Backends.servers(shape.backends(), shape.slots()), Backends.names(shape.backends()), 0);
   }
 
+  private record Shape(int backends, int slots) {}
+
   /**
    * Prints the measurements.
    *
-   * @param args name of one kind of fall, or nothing for all measurements
+   * @param args number of backend servers, slots of each, and optionally one kind of fall
    */
   public static void main(String[] args) {
-    BackendTrackerSettings settings = BackendTrackerSettings.defaults();
-    if (args.length == 0) {
-      quiet(settings);
+    Shape shape = new Shape(Integer.parseInt(args[0]), Integer.parseInt(args[1]));
+    if (args.length == 2) {
+      quiet(shape);
     }
     System.out.println(
         "| fall | noticed after ms, p50 | p99 | calls over one at a time until noticed, mean | most |"
             + " after that, mean | most | not noticed |");
     System.out.println("| --- | --- | --- | --- | --- | --- | --- | --- |");
     for (Fall fall : Fall.values()) {
-      if (fall != Fall.NONE && (args.length == 0 || args[0].equals(fall.name()))) {
-        falls(settings, fall);
+      if (fall != Fall.NONE && (args.length == 2 || args[2].equals(fall.name()))) {
+        falls(shape, fall);
       }
     }
   }
 
-  private static void quiet(BackendTrackerSettings settings) {
-    System.out.println("| noise | slots busy | limits fallen per minute | mean limit of 3 |");
+  private static void quiet(Shape shape) {
+    System.out.println("| noise | slots busy | limits fallen per minute | mean limit |");
     System.out.println("| --- | --- | --- | --- |");
     for (boolean noisy : new boolean[] {false, true}) {
       for (double load : new double[] {0.4, 0.6, 0.85}) {
-        quiet(settings, noisy, load);
+        quiet(shape, noisy, load);
       }
     }
     System.out.println();
   }
 
-  private static void quiet(BackendTrackerSettings settings, boolean noisy, double load) {
-    FallMeasurement run = new FallMeasurement(settings, noisy, load, 1);
+  private static void quiet(Shape shape, boolean noisy, double load) {
+    FallMeasurement run = new FallMeasurement(shape, noisy, load, 1);
     run.runFor(WARM_UP_MS);
     run.drops = 0;
     run.limitSum = 0;
     run.runFor(QUIET_MS);
     double perMinute = run.drops * 60_000.0 / QUIET_MS;
-    double mean = (double) run.limitSum / QUIET_MS / BACKENDS;
+    double mean = (double) run.limitSum / QUIET_MS / shape.backends();
     System.out.printf(Locale.ROOT, "| %s | %.2f | %.1f | %.2f |%n", noisy, load, perMinute, mean);
   }
 
-  private static void falls(BackendTrackerSettings settings, Fall fall) {
+  private static void falls(Shape shape, Fall fall) {
     long[] noticedMs = new long[FALLS];
     long[] before = new long[FALLS];
     long[] after = new long[FALLS];
     int missed = 0;
     for (int i = 0; i < FALLS; i++) {
-      FallMeasurement run = new FallMeasurement(settings, true, 0.6, 100 + i);
+      FallMeasurement run = new FallMeasurement(shape, true, 0.6, 100 + i);
       run.runFor(WARM_UP_MS);
       SimulatedBackend victim = run.backends.getFirst();
-      while (run.pool.limit(victim.name) < SLOTS) {
+      while (run.pool.limit(victim.name) < shape.slots()) {
         run.runFor(1);
       }
       victim.fall(fall, run.nowMs);
@@ -130,7 +133,7 @@
       nowMs++;
       int[] before = backends.stream().mapToInt(b -> pool.limit(b.name)).toArray();
       step();
-      for (int b = 0; b < BACKENDS; b++) {
+      for (int b = 0; b < shape.backends(); b++) {
         int limit = pool.limit(backends.get(b).name);
         limitSum += limit;
         drops += limit < before[b] ? 1 : 0;
@@ -164,11 +167,11 @@
   }
 
   private boolean startOne() {
-    int first = random.nextInt(BACKENDS);
+    int first = random.nextInt(shape.backends());
     Optional<SimulatedBackend> best = Optional.empty();
     int mostFree = 0;
-    for (int i = 0; i < BACKENDS; i++) {
-      SimulatedBackend backend = backends.get((first + i) % BACKENDS);
+    for (int i = 0; i < shape.backends(); i++) {
+      SimulatedBackend backend = backends.get((first + i) % shape.backends());
       int free = pool.limit(backend.name) - backend.inFlight();
       if (free > mostFree) {
         mostFree = free;
--- a/lib/src/test/java/org/cowslipstair/logic/backend/SimulatedBackend.java
+++ b/lib/src/test/java/org/cowslipstair/logic/backend/SimulatedBackend.java
@@ -13,7 +13,6 @@
 
 /** A backend server in virtual time, moved on millisecond by millisecond. */
 final class SimulatedBackend {
-  private static final int SLOTS = 3;
   private static final int MEAN_MS = 20;
   private static final int WARM_AFTER_ANSWERS = 20;
   private static final int COLLAPSE_MS = 200;
@@ -27,6 +26,7 @@
   final BackendName name;
   private final Random random;
   private final List<Running> running = new ArrayList<>();
+  private final int slots;
   private final boolean noisy;
   private Fall fall = Fall.NONE;
   private long fellAtMs;
@@ -62,8 +62,9 @@
     }
   }
 
-  SimulatedBackend(int number, boolean noisy, Random random) {
+  SimulatedBackend(int number, int slots, boolean noisy, Random random) {
     this.name = Backends.name(number);
+    this.slots = slots;
     this.noisy = noisy;
     this.random = random;
   }
@@ -137,7 +138,7 @@
   /** Says what was true a while ago. */
   ProbeReport probe(long nowMs) {
     boolean coldThen = fall != Fall.NONE && nowMs - fellAtMs > HEALTH_LAG_MS;
-    return new ProbeReport(coldThen ? Health.COLD : Health.WARM, running.size(), SLOTS, 0);
+    return new ProbeReport(coldThen ? Health.COLD : Health.WARM, running.size(), slots, 0);
   }
 
   private boolean isCold() {
