--- a/adapters/src/test/java/org/cowslipstair/adapters/settings/TomlDocumentTest.java
+++ b/adapters/src/test/java/org/cowslipstair/adapters/settings/TomlDocumentTest.java
@@ -65,6 +65,23 @@
     assertThat(faults.getMessage(), containsString("gateway.toml:12: peer.ports"));
   }
 
+  @Test
+  void secretsAreRequiredAndNotShown() throws InvalidFileException {
+    TomlDocument document =
+        TomlDocument.parse("gateway.toml", "short = \"hunter2\"\nnumber = 77\n");
+    document.fields().secret("short", 16);
+    document.fields().secret("number", 16);
+    document.fields().secret("absent", 16);
+
+    InvalidFileException faults = assertThrows(InvalidFileException.class, document::requireValid);
+
+    assertThat(
+        places(faults),
+        containsInAnyOrder("1 short NOT_ACCEPTED", "2 number WRONG_TYPE", "1 absent MISSING"));
+    assertThat(faults.getMessage().contains("hunter2"), is(false));
+    assertThat(faults.getMessage().contains("77"), is(false));
+  }
+
   @Test
   void syntaxFaultBearsItsLine() {
     InvalidFileException faults =
--- a/lib/src/main/java/org/cowslipstair/logic/object/FieldReader.java
+++ b/lib/src/main/java/org/cowslipstair/logic/object/FieldReader.java
@@ -173,6 +173,24 @@
     return check(field, text(field, accepted), valid, accepted);
   }
 
+  /** Reads a string that must not be shown in faults. */
+  public String secret(String field, int minChars) {
+    String accepted = "at least %d characters".formatted(minChars);
+    Optional<JsonNode> node = find(field);
+    if (node.isEmpty()) {
+      fault(FieldFault.Kind.MISSING, field, "", accepted);
+      return "";
+    }
+    if (!node.get().isTextual()) {
+      fault(FieldFault.Kind.WRONG_TYPE, field, "", "a string of " + accepted);
+      return "";
+    }
+    if (node.get().asText().length() < minChars) {
+      fault(FieldFault.Kind.NOT_ACCEPTED, field, "", accepted);
+    }
+    return node.get().asText();
+  }
+
   /** Reads a selector; an absent one that is not required selects everything. */
   public Selector selector(String field, boolean required) {
     String accepted = "a selector such as \"app = watch, tier in (gold, silver), !canary\"";
