Allow retries of a call that was never sent in the cut test

With the connection reset before a byte was read, the gateway may notice before it sends and then rightly tries another connection: 3 connections were seen where the test demanded 1. The count of connections is now demanded from the first byte read on; runs and outcome are demanded at every cut as before.

--- a/adapters/src/test/java/org/cowslipstair/adapters/http/AtMostOnceTest.java
+++ b/adapters/src/test/java/org/cowslipstair/adapters/http/AtMostOnceTest.java
@@ -103,8 +103,8 @@
         assertThat(backend.runs(id), is(0));
         if (cutAt > 0) {
           assertThat(answer.status(), is(502));
+          assertThat(backend.connections() - before, is(pooled ? 0 : 1));
         }
-        assertThat(backend.connections() - before, is(pooled ? 0 : 1));
       }
     }
   }
