Make the test of lines see through multi-line strings

A mutation that took lines inside a multi-line string for keys survived: the string stood after the key of the same name, whose line is kept.

--- a/adapters/src/test/java/org/cowslipstair/adapters/settings/TomlDocumentTest.java
+++ b/adapters/src/test/java/org/cowslipstair/adapters/settings/TomlDocumentTest.java
@@ -34,15 +34,15 @@
   void settingsFaultsBearTheirLines() throws InvalidFileException {
     String text =
         """
-        # a = 1
+        note = '''
+        zone = 3
+        '''
+        # zone = 1
         zone = "A"
         stores = [
           "localhost:1", # b = 2
           "nowhere",
         ]
-        note = '''
-        port = 3
-        '''
         [peer]
         port = 70000
         ports = 1
@@ -58,8 +58,8 @@
     assertThat(
         places(faults),
         containsInAnyOrder(
-            "2 zone NOT_ACCEPTED",
-            "3 stores NOT_ACCEPTED",
+            "5 zone NOT_ACCEPTED",
+            "6 stores NOT_ACCEPTED",
             "11 peer.port NOT_ACCEPTED",
             "12 peer.ports UNKNOWN_FIELD"));
     assertThat(faults.getMessage(), containsString("gateway.toml:12: peer.ports"));
