Compare backend servers with the pool's own tail of unanswered time

Cause: the signs assumed exponential service. Change: the threshold follows the pool's 99th percentiles of service time and of slot time between normal answers; one long answer alone is no sign any more when others were answered meanwhile.

--- a/lib/src/main/java/org/cowslipstair/logic/backend/BackendTrackerSettings.java
+++ b/lib/src/main/java/org/cowslipstair/logic/backend/BackendTrackerSettings.java
@@ -5,9 +5,9 @@
  *
  * @param probesPerSecond most probes that one backend server may get from all gateways together
  * @param successesPerStep successes at normal service time after which a limit rises by one
- * @param farAboveFactor multiple of the pool's 95th percentile that counts as a fall into cold
+ * @param farAboveFactor multiple of the pool's 99th percentile that counts as a fall into cold
  * @param farAboveFloorNs service time below which nothing counts as far above the pool's
- * @param slowRunFactor multiple of the pool's 95th percentile above which a result is slow
+ * @param slowRunFactor multiple of the pool's 99th percentile above which a result is slow
  * @param slowRunLength successive slow results that count as a fall into cold
  * @param firstRetryNs wait before the first call after a shed answer or a second failure
  * @param longestRetryNs longest such wait
@@ -32,9 +32,9 @@
     return new BackendTrackerSettings(
         1.0,
         24,
-        4.0,
+        2.6,
         50 * NS_PER_MS,
-        1.5,
+        1.3,
         3,
         100 * NS_PER_MS,
         5_000 * NS_PER_MS,
--- a/lib/src/main/java/org/cowslipstair/logic/backend/PoolBackends.java
+++ b/lib/src/main/java/org/cowslipstair/logic/backend/PoolBackends.java
@@ -26,9 +26,10 @@
  * come first; a probe is asked for only where there are none. Driven by one thread.
  */
 public final class PoolBackends {
-  private static final double NORMAL_QUANTILE = 0.95;
-  private static final int NORMAL_WINDOW = 512;
+  private static final double NORMAL_QUANTILE = 0.99;
+  private static final int NORMAL_WINDOW = 1024;
   private static final int NORMAL_MIN_SAMPLES = 20;
+  private static final double SHARE_OF_SLOW_POOL = 1.0 / 3;
   private static final int MIN_OTHERS_TO_COMPARE = 2;
   private static final long SLOW_SIGN_VALID_NS = 1_000_000_000L;
   private static final int EMPTY_PROBES_TO_COLD = 2;
@@ -43,6 +44,8 @@
   private final Set<BackendName> doubtful = new HashSet<>();
   private final RecentQuantile normal =
       new RecentQuantile(NORMAL_QUANTILE, NORMAL_WINDOW, NORMAL_MIN_SAMPLES);
+  private final RecentQuantile gaps =
+      new RecentQuantile(NORMAL_QUANTILE, NORMAL_WINDOW, NORMAL_MIN_SAMPLES);
 
   /** Creates a tracker without backend servers. */
   public PoolBackends(
@@ -124,7 +127,7 @@
         backend.failed(nowNs);
       }
       case TIMED_OUT -> timedOut(backend, startNs, report.serviceTimeNs(), nowNs);
-      case CANCELLED -> backend.cancelled(startNs, nowNs);
+      case CANCELLED -> backend.unanswered(startNs, nowNs);
       default -> {}
     }
   }
@@ -211,14 +214,19 @@
   private void answered(
       TrackedBackend backend, OptionalLong startNs, long serviceTimeNs, long nowNs) {
     backend.noteResult(nowNs);
-    if (isFarAbove(serviceTimeNs) || isSlowRun(backend, serviceTimeNs)) {
+    if (isSlowRun(backend, serviceTimeNs)) {
       slowSign(backend, serviceTimeNs, nowNs);
       return;
     }
     normal.add(serviceTimeNs);
-    if (!slowRuns.containsKey(backend.server().name())) {
-      backend.answeredNormally(nowNs);
+    backend.unanswered(startNs, nowNs);
+    if (slowRuns.containsKey(backend.server().name())) {
+      backend.interruptedRun();
+      checkAge(backend, nowNs);
+      return;
     }
+    gaps.add(backend.unansweredSlotTimeNs(nowNs));
+    backend.answeredNormally(nowNs);
     slowSignAtNs.remove(backend.server().name());
     if (backend.mayRaise(startNs)) {
       backend.succeeded(nowNs);
@@ -229,7 +237,7 @@
       TrackedBackend backend, OptionalLong startNs, long serviceTimeNs, long nowNs) {
     boolean tightDeadline = normal.value().isPresent() && !isFarAbove(serviceTimeNs);
     if (tightDeadline) {
-      backend.cancelled(startNs, nowNs);
+      backend.unanswered(startNs, nowNs);
       return;
     }
     backend.noteResult(nowNs);
@@ -249,8 +257,8 @@
   }
 
   private boolean isSlowRun(TrackedBackend backend, long serviceTimeNs) {
-    OptionalLong p95 = normal.value();
-    if (p95.isEmpty() || serviceTimeNs <= settings.slowRunFactor() * p95.getAsLong()) {
+    OptionalLong p99 = normal.value();
+    if (p99.isEmpty() || serviceTimeNs <= settings.slowRunFactor() * p99.getAsLong()) {
       slowRuns.remove(backend.server().name());
       return false;
     }
@@ -259,7 +267,7 @@
 
   private void checkAge(TrackedBackend backend, long nowNs) {
     boolean stuck =
-        isFarAbove(backend.unansweredSlotTimeNs(nowNs))
+        isUnanswered(backend, settings.farAboveFactor(), nowNs)
             && backend.unansweredForNs(nowNs) >= settings.farAboveFloorNs();
     if (backend.limit() <= 1 || !stuck) {
       return;
@@ -294,17 +302,25 @@
     if (signAtNs != null && nowNs - signAtNs < SLOW_SIGN_VALID_NS) {
       return true;
     }
-    OptionalLong p95 = normal.value();
-    boolean oldCall = p95.isPresent() && backend.oldestAgeNs(nowNs) > p95.getAsLong();
-    return oldCall || slowRuns.containsKey(name);
+    double factor = settings.farAboveFactor() * SHARE_OF_SLOW_POOL;
+    return slowRuns.containsKey(name) || isUnanswered(backend, factor, nowNs);
+  }
+
+  /** Whether the slot time without a normal answer is a multiple of what the pool knows. */
+  private boolean isUnanswered(TrackedBackend backend, double factor, long nowNs) {
+    if (normal.value().isEmpty()) {
+      return false;
+    }
+    long usualNs = Math.max(normal.value().getAsLong(), gaps.value().orElse(0));
+    return backend.unansweredSlotTimeNs(nowNs) > factor * usualNs;
   }
 
   private boolean isFarAbove(long timeNs) {
-    OptionalLong p95 = normal.value();
-    if (p95.isEmpty() || timeNs < settings.farAboveFloorNs()) {
+    OptionalLong p99 = normal.value();
+    if (p99.isEmpty() || timeNs < settings.farAboveFloorNs()) {
       return false;
     }
-    return timeNs > settings.farAboveFactor() * p95.getAsLong();
+    return timeNs > settings.farAboveFactor() * p99.getAsLong();
   }
 
   private void checkSilence(TrackedBackend backend, long nowNs) {
--- a/lib/src/main/java/org/cowslipstair/logic/backend/TrackedBackend.java
+++ b/lib/src/main/java/org/cowslipstair/logic/backend/TrackedBackend.java
@@ -36,7 +36,7 @@
   private long loweredAtNs = Long.MIN_VALUE;
   private long lastResultNs;
   private long lastNormalAnswerNs;
-  private long cancelledSlotTimeNs;
+  private long endedSlotTimeNs;
   private boolean fresh = true;
 
   TrackedBackend(
@@ -160,11 +160,11 @@
   }
 
   /**
-   * Returns the slot time that running and cancelled calls have spent since the last answer at
-   * normal service time. Calls that take long while others are answered do not count.
+   * Returns the slot time that running and other calls have spent since the last answer at normal
+   * service time. Calls that take long while others are answered do not count.
    */
   long unansweredSlotTimeNs(long nowNs) {
-    long sumNs = cancelledSlotTimeNs;
+    long sumNs = endedSlotTimeNs;
     for (long startNs : startNsByLease.values()) {
       sumNs += nowNs - Math.max(startNs, lastNormalAnswerNs);
     }
@@ -174,18 +174,20 @@
   /** Returns for how long calls have waited for the next answer at normal service time. */
   long unansweredForNs(long nowNs) {
     long sinceNs = nowNs - lastNormalAnswerNs;
-    return cancelledSlotTimeNs > 0 ? sinceNs : Math.min(sinceNs, oldestAgeNs(nowNs));
+    return endedSlotTimeNs > 0 ? sinceNs : Math.min(sinceNs, oldestAgeNs(nowNs));
   }
 
   void answeredNormally(long nowNs) {
     lastNormalAnswerNs = nowNs;
-    cancelledSlotTimeNs = 0;
+    endedSlotTimeNs = 0;
   }
 
-  /** Takes a call that ended without an answer and without fault, as one that lost to a hedge. */
-  void cancelled(OptionalLong startNs, long nowNs) {
+  /**
+   * Takes a call that ended without a normal answer and without fault, as one that lost to a hedge.
+   */
+  void unanswered(OptionalLong startNs, long nowNs) {
     if (startNs.isPresent()) {
-      cancelledSlotTimeNs += nowNs - Math.max(startNs.getAsLong(), lastNormalAnswerNs);
+      endedSlotTimeNs += nowNs - Math.max(startNs.getAsLong(), lastNormalAnswerNs);
     }
   }
 
@@ -336,7 +338,7 @@
       raisedAtNs = nowNs;
     } else if (newLimit < limit) {
       loweredAtNs = nowNs;
-      cancelledSlotTimeNs = 0;
+      endedSlotTimeNs = 0;
     }
     state = newState;
     limit = newLimit;
--- a/lib/src/test/java/org/cowslipstair/logic/backend/FallMeasurement.java
+++ b/lib/src/test/java/org/cowslipstair/logic/backend/FallMeasurement.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import org.cowslipstair.logic.backend.SimulatedBackend.Ended;
 import org.cowslipstair.logic.backend.SimulatedBackend.Fall;
+import org.cowslipstair.logic.backend.SimulatedBackend.ServiceTime;
 import org.cowslipstair.model.config.BackendName;
 
 /**
@@ -40,30 +41,30 @@
     pool = Backends.pool(BackendTrackerSettings.defaults(), seed);
     callsPerMs = load * shape.backends() * shape.slots() / MEAN_MS;
     for (int i = 0; i < shape.backends(); i++) {
-      backends.add(new SimulatedBackend(i, shape.slots(), noisy, random));
+      backends.add(new SimulatedBackend(i, shape.slots(), shape.serviceTime(), noisy, random));
     }
     pool.configure(
         Backends.servers(shape.backends(), shape.slots()), Backends.names(shape.backends()), 0);
   }
 
-  private record Shape(int backends, int slots) {}
+  private record Shape(int backends, int slots, ServiceTime serviceTime) {}
 
   /**
    * Prints the measurements.
    *
-   * @param args number of backend servers, slots of each, and optionally one kind of fall
+   * @param args number of backend servers, slots of each, and distribution of service times
    */
   public static void main(String[] args) {
-    Shape shape = new Shape(Integer.parseInt(args[0]), Integer.parseInt(args[1]));
-    if (args.length == 2) {
-      quiet(shape);
-    }
+    Shape shape =
+        new Shape(
+            Integer.parseInt(args[0]), Integer.parseInt(args[1]), ServiceTime.valueOf(args[2]));
+    quiet(shape);
     System.out.println(
         "| fall | noticed after ms, p50 | p99 | calls over one at a time until noticed, mean | most |"
             + " after that, mean | most | not noticed |");
     System.out.println("| --- | --- | --- | --- | --- | --- | --- | --- |");
     for (Fall fall : Fall.values()) {
-      if (fall != Fall.NONE && (args.length == 2 || args[2].equals(fall.name()))) {
+      if (fall != Fall.NONE) {
         falls(shape, fall);
       }
     }
--- a/lib/src/test/java/org/cowslipstair/logic/backend/PoolBackendsTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/backend/PoolBackendsTest.java
@@ -154,12 +154,15 @@
   void callThatTakesLongWhileOthersAreAnsweredIsNoSign() {
     serviceMs = 20;
     warmAll();
-    start(FIRST);
+    long longCall = start(FIRST);
     for (int i = 0; i < 40; i++) {
       answer(FIRST, 1);
       nowNs += 60 * MS;
       pool.tick(nowNs);
     }
+    answer(FIRST, 1);
+    end(FIRST, longCall, CallEnd.ANSWERED, 3_220 * MS);
+    pool.tick(nowNs);
     assertThat(pool.limit(FIRST), is(SLOTS));
   }
 
--- a/lib/src/test/java/org/cowslipstair/logic/backend/SimulatedBackend.java
+++ b/lib/src/test/java/org/cowslipstair/logic/backend/SimulatedBackend.java
@@ -14,6 +14,7 @@
 /** A backend server in virtual time, moved on millisecond by millisecond. */
 final class SimulatedBackend {
   private static final int MEAN_MS = 20;
+  private static final double SIGMA = 1.2;
   private static final int WARM_AFTER_ANSWERS = 20;
   private static final int COLLAPSE_MS = 200;
   private static final int COLLAPSE_FACTOR = 20;
@@ -27,6 +28,7 @@
   private final Random random;
   private final List<Running> running = new ArrayList<>();
   private final int slots;
+  private final ServiceTime shape;
   private final boolean noisy;
   private Fall fall = Fall.NONE;
   private long fellAtMs;
@@ -36,6 +38,13 @@
   int overColdCapacity;
   int startsSinceFall;
 
+  /** Distribution of service times. */
+  enum ServiceTime {
+    EXPONENTIAL,
+    CONSTANT,
+    LOGNORMAL
+  }
+
   /** What may happen to a backend server without warning. */
   enum Fall {
     NONE,
@@ -62,9 +71,10 @@
     }
   }
 
-  SimulatedBackend(int number, int slots, boolean noisy, Random random) {
+  SimulatedBackend(int number, int slots, ServiceTime shape, boolean noisy, Random random) {
     this.name = Backends.name(number);
     this.slots = slots;
+    this.shape = shape;
     this.noisy = noisy;
     this.random = random;
   }
@@ -97,7 +107,7 @@
     if (fall == Fall.RESETS) {
       return Optional.of(new Ended(lease, report(CallEnd.FAILED, 1)));
     }
-    running.add(new Running(lease, nowMs, random.nextExponential() * MEAN_MS));
+    running.add(new Running(lease, nowMs, sampleMs()));
     return Optional.empty();
   }
 
@@ -141,6 +151,14 @@
     return new ProbeReport(coldThen ? Health.COLD : Health.WARM, running.size(), slots, 0);
   }
 
+  private double sampleMs() {
+    return switch (shape) {
+      case EXPONENTIAL -> random.nextExponential() * MEAN_MS;
+      case CONSTANT -> MEAN_MS;
+      case LOGNORMAL -> MEAN_MS * Math.exp(random.nextGaussian() * SIGMA - SIGMA * SIGMA / 2);
+    };
+  }
+
   private boolean isCold() {
     return fall == Fall.COLD_COLLAPSES || fall == Fall.COLD_SHEDS;
   }
