Keep limits under any order of messages to a broker

Cause: a release that arrives while its request still waits left the request in the queue, and it was granted after it had been completed. Change: a release also ends the wait. Conclusion: only a sender that errs could bring this about.

--- a/lib/src/main/java/org/cowslipstair/logic/broker/BrokerCore.java
+++ b/lib/src/main/java/org/cowslipstair/logic/broker/BrokerCore.java
@@ -167,9 +167,10 @@
     }
     switch (message) {
       case Acquire acquire -> onAcquire(from, acquire, nowNs);
-      case CancelAcquire cancel -> onCancel(new LeaseKey(from, cancel.requestNumber()), nowNs);
+      case CancelAcquire cancel ->
+          release(new LeaseKey(from, cancel.requestNumber()), CallReport.unused(), nowNs);
       case Release release ->
-          leases.release(new LeaseKey(from, release.requestNumber()), release.report(), nowNs);
+          release(new LeaseKey(from, release.requestNumber()), release.report(), nowNs);
       case Reuse reuse ->
           leases.reuse(new LeaseKey(from, reuse.requestNumber()), reuse.report(), nowNs);
       case Held held -> {
@@ -234,9 +235,9 @@
     return tooLong ? Optional.of(RefuseReason.WAIT_TOO_LONG) : Optional.empty();
   }
 
-  private void onCancel(LeaseKey key, long nowNs) {
+  private void release(LeaseKey key, CallReport report, long nowNs) {
     queue.remove(key);
-    leases.release(key, CallReport.unused(), nowNs);
+    leases.release(key, report, nowNs);
   }
 
   /** Takes the result of a probe. */
