Test that answers without a body keep their connection

A reading of the code suggested that closing a HEAD or 304 answer costs its connection; the test shows that it does not, so the code stays. It fails when no idle connection is kept.

--- a/adapters/src/test/java/org/cowslipstair/adapters/http/OkHttpBackendTransportTest.java
+++ b/adapters/src/test/java/org/cowslipstair/adapters/http/OkHttpBackendTransportTest.java
@@ -193,6 +193,27 @@
     }
   }
 
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HEAD 200 OK\r\nContent-Length: 99",
+        "GET 304 Not Modified\r\nETag: x",
+        "GET 204 No Content\r\nETag: x",
+        "POST 503 Busy\r\nBackend-Not-Run: 1\r\nContent-Length: 0"
+      })
+  void answerWithoutBodyLeavesItsConnectionInUse(String methodAndHead) throws Exception {
+    String method = methodAndHead.substring(0, methodAndHead.indexOf(' '));
+    String answer = "HTTP/1.1" + methodAndHead.substring(method.length()) + "\r\n\r\n";
+    try (RawBackend backend = new RawBackend(RawBackend.answering(r -> answer))) {
+      for (int i = 0; i < 3; i++) {
+        BackendCall call = call(method, new CallBody.None(), 20 * SECOND_NS);
+        transport.send(backend.server(), call).close();
+      }
+      assertThat(fetch(backend, call(method, new CallBody.None(), 20 * SECOND_NS)), is(""));
+      assertThat(backend.connections(), is(1));
+    }
+  }
+
   @Test
   void deadlineEndsABodyThatStallsAndItsConnection() throws Exception {
     CompletableFuture<Integer> afterwards = new CompletableFuture<>();
