--- a/lib/src/test/java/org/cowslipstair/logic/lessee/LesseeCoreTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/lessee/LesseeCoreTest.java
@@ -36,12 +36,14 @@
 import org.cowslipstair.model.peer.LeaseMessage.CancelAcquire;
 import org.cowslipstair.model.peer.LeaseMessage.Grant;
 import org.cowslipstair.model.peer.LeaseMessage.Held;
+import org.cowslipstair.model.peer.LeaseMessage.HeldLease;
 import org.cowslipstair.model.peer.LeaseMessage.HeldRequest;
 import org.cowslipstair.model.peer.LeaseMessage.Recall;
 import org.cowslipstair.model.peer.LeaseMessage.Refuse;
 import org.cowslipstair.model.peer.LeaseMessage.RefuseReason;
 import org.cowslipstair.model.peer.LeaseMessage.Release;
 import org.cowslipstair.model.peer.LeaseMessage.WhenFull;
+import org.cowslipstair.model.peer.LeaseMessage.Withdraw;
 import org.cowslipstair.model.pool.CallEnd;
 import org.cowslipstair.model.pool.CallReport;
 import org.cowslipstair.model.pool.PoolId;
@@ -230,6 +232,48 @@
     assertThat(message(late), instanceOf(Release.class));
   }
 
+  @Test
+  void reportDropsIdleLeasesAndListsCallsThatMayStillRun() {
+    Lease idleLease = admitted(true, "a-0");
+    Lease cancelled = admitted(true, "a-1");
+    callsComeOften();
+    assertThat(idle.keep(idleLease, ANSWERED, nowNs), is(true));
+    lessee.released(cancelled, new CallReport(CallEnd.CANCELLED, 1), nowNs);
+
+    List<LesseeAction> told = lessee.onMessage(FIRST, new HeldRequest(HOME_POOL), nowNs);
+    Held held = (Held) ((LesseeAction.Send) told.getFirst()).message();
+
+    long number = cancelled.requestNumber();
+    BackendName backend = cancelled.backend();
+    assertThat(held.leases(), is(List.of(new HeldLease(number, backend, 200 * NS_PER_MS, true))));
+    assertThat(idle.take(HOME_POOL, Set.of(), nowNs + 1, nowNs), is(Optional.empty()));
+  }
+
+  @Test
+  void withdrawnLeasesStartNoFurtherCall() {
+    Lease unsent = admitted(true, "a-0");
+    Lease idleLease = admitted(true, "a-0");
+    Lease other = admitted(true, "a-1");
+    callsComeOften();
+    idle.keep(idleLease, ANSWERED, nowNs);
+
+    BackendName fallen = unsent.backend();
+    Release given =
+        (Release) message(lessee.onMessage(FIRST, new Withdraw(HOME_POOL, fallen), nowNs));
+
+    assertThat(given.requestNumber(), is(idleLease.requestNumber()));
+    assertThat(unsent.mayStart(nowNs), is(false));
+    assertThat(idle.keep(unsent, ANSWERED, nowNs), is(false));
+    assertThat(other.mayStart(nowNs), is(true));
+  }
+
+  private void callsComeOften() {
+    for (int i = 0; i < 20; i++) {
+      nowNs += NS_PER_MS;
+      admit(true);
+    }
+  }
+
   @Test
   void callWhoseBrokerIsLostWaitsInAnotherZoneAndLeasesAreReportedOnReconnect() {
     Lease lease = admitted(true, "a-0");
@@ -289,10 +333,7 @@
   @Test
   void idleLeaseServesTheNextCallAndIsRecalledByItsBroker() {
     Lease lease = admitted(true, "a-0");
-    for (int i = 0; i < 20; i++) {
-      nowNs += NS_PER_MS;
-      admit(false);
-    }
+    callsComeOften();
     assertThat(idle.keep(lease, ANSWERED, nowNs), is(true));
     long deadlineNs = nowNs + 500 * NS_PER_MS;
     Set<BackendName> other = Set.of(lease.backend());
