Report a configuration only once it is in force

Change: ConfigRuntime sets the status last; the test checks the order and fails when it is put back.

--- a/lib/src/main/java/org/cowslipstair/runtime/config/ConfigRuntime.java
+++ b/lib/src/main/java/org/cowslipstair/runtime/config/ConfigRuntime.java
@@ -137,7 +137,6 @@
       return false;
     }
     boolean listAgain = false;
-    status.set(core.status());
     for (ConfigAction action : actions) {
       switch (action) {
         case ConfigAction.Send send -> listener.send(send.to(), send.message());
@@ -150,6 +149,7 @@
         case ConfigAction.Report report -> log(report.event());
       }
     }
+    status.set(core.status()); // Last, so that what it reports is in force.
     return listAgain;
   }
 
--- a/lib/src/test/java/org/cowslipstair/runtime/config/ConfigWatcherTest.java
+++ b/lib/src/test/java/org/cowslipstair/runtime/config/ConfigWatcherTest.java
@@ -38,6 +38,7 @@
       await("return", () -> gateway.stateOf("a").equals("back"));
 
       assertThat(gateway.store.counts().lists(), is(1L));
+      assertThat(gateway.reportedTooEarly.get(), is(false));
       assertThat(gateway.contacts.get(), greaterThanOrEqualTo(3));
     }
   }
--- a/lib/src/test/java/org/cowslipstair/runtime/config/WatchingGateway.java
+++ b/lib/src/test/java/org/cowslipstair/runtime/config/WatchingGateway.java
@@ -3,6 +3,7 @@
 import java.util.Random;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.cowslipstair.logic.config.ConfigCore;
 import org.cowslipstair.logic.config.ConfigSettings;
@@ -23,6 +24,7 @@
   final CountingStore store;
   final ConfigRuntime config;
   final AtomicInteger contacts = new AtomicInteger();
+  final AtomicBoolean reportedTooEarly = new AtomicBoolean();
   private final ConfigWatcher watcher;
   private final InstanceListPoller poller;
 
@@ -59,7 +61,10 @@
   public void broadcast(ConfigMessage message) {}
 
   @Override
-  public void onConfig(ConfigSnapshot snapshot) {}
+  public void onConfig(ConfigSnapshot snapshot) {
+    boolean isReported = config.inForce().revision() == snapshot.revision();
+    reportedTooEarly.compareAndSet(false, isReported);
+  }
 
   @Override
   public void onStoreContact() {
