Add benchmarks of the request path

Cause: the cost of a slot and of a configuration swap must be known and rerun. Change: command bench with JMH: admit, check and release with 36 and 490 backend servers; routing while the configuration is replaced.

--- a/experiments/src/main/java/org/cowslipstair/experiments/ExperimentsMain.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/ExperimentsMain.java
@@ -3,6 +3,7 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
 import java.util.Map;
+import org.cowslipstair.experiments.bench.BenchCommand;
 import org.cowslipstair.experiments.cost.CostCommand;
 import org.cowslipstair.experiments.demo.DemoCommand;
 import org.cowslipstair.experiments.plan.LoadCommand;
@@ -17,7 +18,11 @@
   /** Parses the command line and runs one command. */
   public static void main(String[] arguments) {
     Map<String, TrialCommand> commands =
-        Map.of("demo", new DemoCommand(), "load", new LoadCommand(), "cost", new CostCommand());
+        Map.of(
+            "demo", new DemoCommand(),
+            "load", new LoadCommand(),
+            "cost", new CostCommand(),
+            "bench", new BenchCommand());
     JCommander.Builder builder = JCommander.newBuilder().programName("cowslipstair");
     commands.forEach(builder::addCommand);
     JCommander commander = builder.build();
--- a/experiments/src/main/java/org/cowslipstair/experiments/cost/SyntheticDeployment.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/cost/SyntheticDeployment.java
@@ -25,12 +25,13 @@
  *
  * @param slots slots of each backend server
  */
-record SyntheticDeployment(int zones, int services, int backends, int slots) {
+public record SyntheticDeployment(int zones, int services, int backends, int slots) {
   private static final int MAX_CONNECTIONS = 260;
   private static final long TIMEOUT_MS = 5_000;
   private static final String APP = "app";
 
-  Deployment build() {
+  /** Returns the configuration; backend servers are spread over services, then over zones. */
+  public Deployment build() {
     List<ConfigObject> objects = new ArrayList<>();
     for (int i = 0; i < zones; i++) {
       objects.add(new Zone(zone(i), Labels.empty()));
