--- a/adapters/src/main/java/org/cowslipstair/adapters/http/CallerServer.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/http/CallerServer.java
@@ -23,6 +23,7 @@
 /** The server that callers connect to; each request has a virtual thread of its own. */
 public final class CallerServer implements AutoCloseable {
   private static final int MAX_PLATFORM_THREADS = 32;
+  private static final int ACCEPT_QUEUE_CONNECTIONS = 1_024;
   private static final int MIN_PLATFORM_THREADS = 4;
   private static final long POLL_NS = 2_000_000;
   private static final long QUIET_MS = 100;
@@ -96,6 +97,7 @@
     connector.setHost(settings.address().host());
     connector.setPort(settings.address().port());
     connector.setIdleTimeout(limits.idleTimeoutMs());
+    connector.setAcceptQueueSize(ACCEPT_QUEUE_CONNECTIONS);
     return connector;
   }
 
--- a/experiments/src/main/java/org/cowslipstair/experiments/fleet/TrialFleet.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/fleet/TrialFleet.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
 import org.cowslipstair.adapters.http.CallerLimits;
 import org.cowslipstair.adapters.platform.HttpPlatformStore;
 import org.cowslipstair.gateway.GatewayProcess;
@@ -138,9 +139,8 @@
 
   private boolean isReady() {
     for (GatewayProcess gateway : gateways.values()) {
-      boolean current = gateway.runtime().snapshot().revision() >= store.revision();
       boolean meshed = gateway.runtime().gatewayCount() == gateways.size();
-      if (!current || !meshed || gateway.runtime().notReadyBecause().isPresent()) {
+      if (!isCurrent(gateway) || !meshed || gateway.runtime().notReadyBecause().isPresent()) {
         return false;
       }
     }
@@ -178,17 +178,33 @@
     backends.values().forEach(BackendServerStandin::clearMark);
   }
 
-  /** Waits until every gateway has the newest configuration and knows all others. */
+  /** Waits until every gateway has the newest configuration, knows all others, and is ready. */
   public void awaitReady() throws InterruptedException, TimeoutException {
+    await(this::isReady, "gateways are not ready");
+  }
+
+  /** Waits until every gateway has the newest configuration. */
+  public void awaitRevision() throws InterruptedException, TimeoutException {
+    await(
+        () -> gateways.values().stream().allMatch(this::isCurrent),
+        "gateways do not have the newest configuration");
+  }
+
+  private static void await(BooleanSupplier condition, String failure)
+      throws InterruptedException, TimeoutException {
     long deadlineNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_TIMEOUT_MS);
-    while (!isReady()) {
+    while (!condition.getAsBoolean()) {
       if (System.nanoTime() - deadlineNs > 0) {
-        throw new TimeoutException("gateways are not ready");
+        throw new TimeoutException(failure);
       }
       TimeUnit.MILLISECONDS.sleep(POLL_MS);
     }
   }
 
+  private boolean isCurrent(GatewayProcess gateway) {
+    return gateway.runtime().snapshot().revision() >= store.revision();
+  }
+
   /** Starts a new life of a gateway that ended. */
   public void restartGateway(GatewayName name, ZoneName zone) throws IOException {
     startGateway(name, zone, gateways.values().stream().map(GatewayProcess::instance).toList());
--- a/gateway/src/main/java/org/cowslipstair/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/cowslipstair/gateway/GatewaySettings.java
@@ -58,10 +58,7 @@
             fields.address("peer_address"),
             fields.address("admin_address"),
             fields.addresses("store_addresses"),
-            fields
-                .optionalText(
-                    "peer_key", key -> key.length() >= MIN_KEY_CHARS, "at least 16 characters")
-                .orElse(""),
+            fields.secret("peer_key", MIN_KEY_CHARS),
             limits(fields),
             fields.integer("stop_notice_ms", 0, MAX_STOP_MS, DEFAULT_STOP_NOTICE_MS),
             fields.integer("stop_timeout_ms", 0, MAX_STOP_MS, DEFAULT_STOP_TIMEOUT_MS));
--- a/standins/src/main/java/org/cowslipstair/standins/backend/BackendServerStandin.java
+++ b/standins/src/main/java/org/cowslipstair/standins/backend/BackendServerStandin.java
@@ -12,6 +12,7 @@
 public final class BackendServerStandin implements AutoCloseable {
   private static final String HOST = "127.0.0.1";
   private static final long IDLE_TIMEOUT_MS = 300_000;
+  private static final int ACCEPT_QUEUE_CONNECTIONS = 512;
 
   private final String name;
   private final AtomicReference<BackendBehaviour> behaviour;
@@ -33,6 +34,7 @@
     connector.setHost(HOST);
     connector.setPort(config.port());
     connector.setIdleTimeout(IDLE_TIMEOUT_MS);
+    connector.setAcceptQueueSize(ACCEPT_QUEUE_CONNECTIONS);
     connector.addBean(new ConnectionCounter(counters));
     server.addConnector(connector);
     server.setHandler(new BackendHandler(this, config.record()));
