Make probing a fair baseline and list again while watches hang

Cause: probing had p99 2.5 s where least in flight had 0.27: the stand-in reported latency without its queue, and each result was used three times, so all gateways followed the same one. Change: the stand-in's latency includes waiting; a result counts once and is scaled by the load past the slots. The gateways of a fleet take turns to list the configuration again, about once a second in all. Tests: changeIsFoundWhileTheWatchHangs is new.

--- a/experiments/src/main/java/org/cowslipstair/experiments/plan/LimitSampler.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/plan/LimitSampler.java
@@ -16,18 +16,19 @@
   private volatile long limits;
   private volatile long leases;
   private volatile long waiting;
+  private volatile long mostWaiting;
 
   LimitSampler(TrialFleet fleet) {
     this.fleet = fleet;
     this.slots = fleet.deployment().backends().stream().mapToLong(BackendServer::slots).sum();
   }
 
-  /** Means over the samples of one phase. */
-  record Means(double limitShare, double leaseShare, double waiting) {}
+  /** Means over the samples of one phase, and the longest queue of all pools together. */
+  record Means(double limitShare, double leaseShare, double waiting, long mostWaiting) {}
 
   Means means() {
     double count = Math.max(1, samples);
-    return new Means(limits / count / slots, leases / count / slots, waiting / count);
+    return new Means(limits / count / slots, leases / count / slots, waiting / count, mostWaiting);
   }
 
   @Override
@@ -43,6 +44,7 @@
   }
 
   private void sample() {
+    long waitingBefore = waiting;
     for (GatewayProcess gateway : fleet.gateways().values()) {
       for (BrokerStatus broker : gateway.state().leases().brokers()) {
         waiting += broker.queueLength();
@@ -53,5 +55,6 @@
       }
     }
     samples++;
+    mostWaiting = Math.max(mostWaiting, waiting - waitingBefore);
   }
 }
--- a/experiments/src/main/java/org/cowslipstair/experiments/plan/VariantResult.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/plan/VariantResult.java
@@ -16,6 +16,7 @@
   private double limitShare;
   private double leaseShare;
   private double waiting;
+  private long mostWaiting;
 
   VariantResult(int backends, int gateways) {
     this.backends = backends;
@@ -29,6 +30,7 @@
     limitShare += means.limitShare();
     leaseShare += means.leaseShare();
     waiting += means.waiting();
+    mostWaiting = Math.max(mostWaiting, means.mostWaiting());
     counts = counts.plus(phase);
     elapsedNs += phaseNs;
   }
@@ -53,6 +55,7 @@
       decimal(calls.totalMs(50)),
       decimal(calls.totalMs(99)),
       decimal(calls.totalMs(99.9)),
+      decimal(calls.waitMs(90)),
       decimal(calls.waitMs(99)),
       decimal(calls.addedMs(99)),
       percent(counts.overSlots(), counts.calls()),
@@ -65,7 +68,8 @@
       Long.toString(counts.violations()),
       decimal(100 * limitShare / Math.max(1, phases)),
       decimal(100 * leaseShare / Math.max(1, phases)),
-      decimal(waiting / Math.max(1, phases))
+      decimal(waiting / Math.max(1, phases)),
+      Long.toString(mostWaiting)
     };
   }
 
@@ -79,6 +83,7 @@
       "p50 ms",
       "p99 ms",
       "p99.9 ms",
+      "wait p90 ms",
       "wait p99 ms",
       "added p99 ms",
       "over slots %",
@@ -91,7 +96,8 @@
       "violations",
       "limit %",
       "leased %",
-      "queued"
+      "queued",
+      "most queued"
     };
   }
 
--- a/lib/src/main/java/org/cowslipstair/logic/policy/ProbePool.java
+++ b/lib/src/main/java/org/cowslipstair/logic/policy/ProbePool.java
@@ -16,7 +16,6 @@
  */
 public final class ProbePool {
   private static final int MAX_RESULTS = 16;
-  private static final int MAX_USES = 3;
   private static final long MAX_AGE_NS = 1_000_000_000L;
   private static final double HOT_QUANTILE = 0.84;
 
@@ -24,11 +23,18 @@
 
   /** Adds the report of a probe. */
   public void add(BackendName backend, ProbeReport report, long nowNs) {
-    Result added = new Result(backend, report.inFlight(), report.latencyNs(), nowNs, 0);
+    long atNextCallNs = latencyAtNextCallNs(report);
+    Result added = new Result(backend, report.inFlight(), atNextCallNs, nowNs);
     results.updateAndGet(old -> replace(old, backend, Optional.of(added)));
   }
 
-  /** Picks the best candidate by the results, and counts the call that will go there. */
+  /** Returns the latency that one more call would meet, as calls past the slots share them. */
+  private static long latencyAtNextCallNs(ProbeReport report) {
+    double load = (report.inFlight() + 1.0) / Math.max(1, report.slots());
+    return Math.round(report.latencyNs() * Math.max(1, load));
+  }
+
+  /** Picks the best candidate by the results; each result is used once. */
   public Optional<BackendServer> best(List<BackendServer> candidates, long nowNs) {
     List<Result> fresh = fresh(results.get(), nowNs);
     Optional<Result> best = choose(fresh, candidates);
@@ -36,7 +42,7 @@
       return Optional.empty();
     }
     BackendName chosen = best.get().backend;
-    results.updateAndGet(old -> replace(old, chosen, used(best.get())));
+    results.updateAndGet(old -> replace(old, chosen, Optional.empty()));
     return find(candidates, chosen);
   }
 
@@ -80,15 +86,6 @@
     return fresh;
   }
 
-  private static Optional<Result> used(Result result) {
-    if (result.uses + 1 >= MAX_USES) {
-      return Optional.empty();
-    }
-    return Optional.of(
-        new Result(
-            result.backend, result.inFlight + 1, result.latencyNs, result.atNs, result.uses + 1));
-  }
-
   private static List<Result> replace(
       List<Result> old, BackendName backend, Optional<Result> replacement) {
     List<Result> copy = new ArrayList<>(old.size() + 1);
@@ -111,5 +108,5 @@
     return Optional.empty();
   }
 
-  private record Result(BackendName backend, int inFlight, long latencyNs, long atNs, int uses) {}
+  private record Result(BackendName backend, int inFlight, long latencyNs, long atNs) {}
 }
--- a/lib/src/main/java/org/cowslipstair/runtime/GatewayRuntime.java
+++ b/lib/src/main/java/org/cowslipstair/runtime/GatewayRuntime.java
@@ -96,7 +96,12 @@
     RandomGenerator random = ports.random().get();
     this.watcher =
         new ConfigWatcher(
-            store, config, StoreBackoff.defaults(), random, membership::wantsStoreContact);
+            store,
+            config,
+            StoreBackoff.defaults(),
+            random,
+            membership::wantsStoreContact,
+            this::gatewayCount);
     this.poller =
         new InstanceListPoller(store, membership::onInstances, StoreBackoff.defaults(), random);
     this.hooks =
--- a/lib/src/main/java/org/cowslipstair/runtime/config/ConfigWatcher.java
+++ b/lib/src/main/java/org/cowslipstair/runtime/config/ConfigWatcher.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 import org.cowslipstair.logic.config.ConfigBatch;
 import org.cowslipstair.model.config.ConfigVersion;
@@ -16,14 +17,17 @@
 import org.jboss.logging.Logger;
 
 /**
- * Lists the configuration once, then watches it. Only where the gateway has lost the majority of
- * its peers does a second loop ask the store each second whether anything was missed.
+ * Lists the configuration once, then watches it. The gateways of a fleet take turns to list again,
+ * so that a change is found even while every watch hangs; peers pass it on. Only where the gateway
+ * has lost the majority of its peers does a second loop ask the store each second whether anything
+ * was missed.
  */
 public final class ConfigWatcher implements AutoCloseable {
   private static final Logger LOG = Logger.getLogger(ConfigWatcher.class);
   private static final long MIN_WATCH_MS = 15_000;
   private static final long MAX_WATCH_MS = 25_000;
   private static final long CONFIRM_INTERVAL_MS = 1_000;
+  private static final long FLEET_RECHECK_INTERVAL_MS = 1_000;
 
   private final PlatformStore store;
   private final ConfigRuntime runtime;
@@ -33,6 +37,8 @@
   private final AtomicBoolean closed = new AtomicBoolean();
   private final Thread watcher;
   private final Thread confirmer;
+  private final Thread rechecker;
+  private final IntSupplier gateways;
   private boolean listNext = true;
   private int failures;
 
@@ -40,18 +46,22 @@
    * Creates a watcher.
    *
    * @param wantsStoreContact whether the store has to confirm what is in force; read on any thread
+   * @param gateways number of gateways that share the work of listing again; read on any thread
    */
   public ConfigWatcher(
       PlatformStore store,
       ConfigRuntime runtime,
       StoreBackoff backoff,
       RandomGenerator random,
-      BooleanSupplier wantsStoreContact) {
+      BooleanSupplier wantsStoreContact,
+      IntSupplier gateways) {
     this.store = store;
     this.runtime = runtime;
     this.backoff = backoff;
     this.random = random;
     this.wantsStoreContact = wantsStoreContact;
+    this.gateways = gateways;
+    this.rechecker = Thread.ofVirtual().name("config-recheck").unstarted(this::recheck);
     this.watcher = Thread.ofVirtual().name("config-watch").unstarted(this::watch);
     this.confirmer = Thread.ofVirtual().name("config-confirm").unstarted(this::confirm);
   }
@@ -66,6 +76,7 @@
   public void start() {
     watcher.start();
     confirmer.start();
+    rechecker.start();
   }
 
   private void watch() {
@@ -141,10 +152,28 @@
     }
   }
 
+  /** Lists again from time to time, about once a second in the whole fleet, as a watch may hang. */
+  private void recheck() {
+    while (!closed.get()) {
+      try {
+        long meanMs = FLEET_RECHECK_INTERVAL_MS * Math.max(1, gateways.getAsInt());
+        TimeUnit.MILLISECONDS.sleep(meanMs / 2 + random.nextLong(meanMs));
+        if (!runtime.inForce().isNone()) {
+          listOnce();
+        }
+      } catch (StoreException expected) {
+        // The loop that watches reports an outage.
+      } catch (InterruptedException e) {
+        return;
+      }
+    }
+  }
+
   @Override
   public void close() {
     closed.set(true);
     watcher.interrupt();
     confirmer.interrupt();
+    rechecker.interrupt();
   }
 }
--- a/lib/src/test/java/org/cowslipstair/runtime/config/ConfigWatcherTest.java
+++ b/lib/src/test/java/org/cowslipstair/runtime/config/ConfigWatcherTest.java
@@ -15,6 +15,8 @@
 import org.junit.jupiter.api.Test;
 
 class ConfigWatcherTest {
+  private static final int MANY = 1_000;
+
   private static void await(String what, BooleanSupplier condition) throws InterruptedException {
     long deadlineNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
     while (!condition.getAsBoolean()) {
@@ -27,7 +29,7 @@
   void listsOnceThenFollowsTheWatchAcrossAnOutage() throws Exception {
     FakePlatformStore platform = new FakePlatformStore();
     platform.write("a", "in");
-    try (WatchingGateway gateway = new WatchingGateway(platform, 1)) {
+    try (WatchingGateway gateway = new WatchingGateway(platform, 1, MANY)) {
       await("list", () -> gateway.stateOf("a").equals("in"));
       platform.write("a", "out");
       await("watch", () -> gateway.stateOf("a").equals("out"));
@@ -47,7 +49,7 @@
   void restoredStoreIsRefusedAndListedAtOnceWhenAccepted() throws Exception {
     FakePlatformStore platform = new FakePlatformStore();
     platform.write("a", "out");
-    try (WatchingGateway gateway = new WatchingGateway(platform, 2)) {
+    try (WatchingGateway gateway = new WatchingGateway(platform, 2, MANY)) {
       await("list", () -> gateway.stateOf("a").equals("out"));
       platform.restoreEmpty("store-b");
       await("refusal", () -> gateway.config.status().refusedStore().isPresent());
@@ -60,6 +62,19 @@
     }
   }
 
+  @Test
+  void changeIsFoundWhileTheWatchHangs() throws Exception {
+    FakePlatformStore platform = new FakePlatformStore();
+    platform.write("a", "in");
+    try (WatchingGateway gateway = new WatchingGateway(platform, 3, 1)) {
+      await("list", () -> gateway.stateOf("a").equals("in"));
+      platform.setWatchStuck();
+      platform.write("a", "out");
+      await("recheck", () -> gateway.stateOf("a").equals("out"));
+      assertThat(gateway.store.counts().lists(), greaterThanOrEqualTo(2L));
+    }
+  }
+
   @Property(seed = "61")
   void delaysDoubleUpToTheCapAndAreSpread(
       @ForAll @IntRange(min = 1, max = 80) int failures, @ForAll long seed) {
--- a/lib/src/test/java/org/cowslipstair/runtime/config/FakePlatformStore.java
+++ b/lib/src/test/java/org/cowslipstair/runtime/config/FakePlatformStore.java
@@ -19,6 +19,7 @@
   private StoreId id = new StoreId("store-a");
   private long revision;
   private boolean down;
+  private boolean watchStuck;
 
   synchronized void write(String zone, String state) {
     revision++;
@@ -33,6 +34,10 @@
     notifyAll();
   }
 
+  synchronized void setWatchStuck() {
+    watchStuck = true;
+  }
+
   synchronized void restoreEmpty(String newId) {
     id = new StoreId(newId);
     revision = 0;
@@ -56,7 +61,7 @@
   public synchronized ObjectBatch watch(Set<ObjectKind> kinds, long afterRevision, long timeoutMs)
       throws StoreException {
     long deadlineNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
-    while (!down && revision == afterRevision && System.nanoTime() < deadlineNs) {
+    while (!down && (watchStuck || revision == afterRevision) && System.nanoTime() < deadlineNs) {
       try {
         TimeUnit.NANOSECONDS.timedWait(this, deadlineNs - System.nanoTime());
       } catch (InterruptedException e) {
@@ -65,6 +70,9 @@
       }
     }
     requireUp("watch");
+    if (watchStuck) {
+      return new ObjectBatch(id, afterRevision, List.of());
+    }
     if (revision < afterRevision) {
       throw new StoreException.RevisionGone(afterRevision);
     }
--- a/lib/src/test/java/org/cowslipstair/runtime/config/StoreCallTraffic.java
+++ b/lib/src/test/java/org/cowslipstair/runtime/config/StoreCallTraffic.java
@@ -42,7 +42,7 @@
     platform.write("a", "in");
     List<WatchingGateway> fleet = new ArrayList<>();
     for (int i = 0; i < size; i++) {
-      fleet.add(new WatchingGateway(platform, i));
+      fleet.add(new WatchingGateway(platform, i, size));
     }
     System.out.println(
         "calls a second of all " + size + " gateways: lists, watches, instances, failed; peak");
--- a/lib/src/test/java/org/cowslipstair/runtime/config/WatchingGateway.java
+++ b/lib/src/test/java/org/cowslipstair/runtime/config/WatchingGateway.java
@@ -28,7 +28,7 @@
   private final ConfigWatcher watcher;
   private final InstanceListPoller poller;
 
-  WatchingGateway(PlatformStore platform, long seed) {
+  WatchingGateway(PlatformStore platform, long seed, int gateways) {
     store = new CountingStore(platform);
     ConfigCore core =
         new ConfigCore(
@@ -40,7 +40,9 @@
             InvariantMonitor.failing());
     config = new ConfigRuntime(core, loop, MonotonicClock.system(), this);
     Random random = new Random(seed);
-    watcher = new ConfigWatcher(store, config, StoreBackoff.defaults(), random, () -> false);
+    watcher =
+        new ConfigWatcher(
+            store, config, StoreBackoff.defaults(), random, () -> false, () -> gateways);
     poller = new InstanceListPoller(store, _ -> {}, StoreBackoff.defaults(), random);
     watcher.start();
     poller.start();
--- a/standins/src/main/java/org/cowslipstair/standins/backend/BackendHandler.java
+++ b/standins/src/main/java/org/cowslipstair/standins/backend/BackendHandler.java
@@ -137,8 +137,9 @@
   }
 
   /** Tells the caller how long the call was here, and how long of that it was worked on. */
-  private static void putTimes(Response response, long arrivedNs, long startedNs) {
+  private void putTimes(Response response, long arrivedNs, long startedNs) {
     long nowNs = System.nanoTime();
+    standin.model().noteLatency(nowNs - arrivedNs);
     response.getHeaders().put(SPENT_US, TimeUnit.NANOSECONDS.toMicros(nowNs - arrivedNs));
     response.getHeaders().put(WORKED_US, TimeUnit.NANOSECONDS.toMicros(nowNs - startedNs));
   }
--- a/standins/src/main/java/org/cowslipstair/standins/backend/ServiceModel.java
+++ b/standins/src/main/java/org/cowslipstair/standins/backend/ServiceModel.java
@@ -164,7 +164,7 @@
         }
       }
     }
-    succeeded(System.nanoTime() - startNs);
+    succeeded();
     return Step.DONE;
   }
 
@@ -211,10 +211,19 @@
     }
   }
 
-  private void succeeded(long tookNs) {
+  /** Adds the time that a call was here, waiting included, to the latency that is reported. */
+  void noteLatency(long spentNs) {
+    lock.lock();
+    try {
+      latencyNs += LATENCY_WEIGHT * (spentNs - latencyNs);
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  private void succeeded() {
     lock.lock();
     try {
-      latencyNs += LATENCY_WEIGHT * (tookNs - latencyNs);
       if (cold && !collapsed) {
         warmingSuccesses++;
       }
