Hedge calls that spill to a zone with few samples

Cause: in demos only 1.8 to 2.6% of the calls were hedged where 5% may be; a pool that calls spill to rarely has the 40 samples that a delay needs. Change: such a pool takes the delay of its whole service.

--- a/experiments/src/main/java/org/cowslipstair/experiments/demo/Demo.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/demo/Demo.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.cowslipstair.experiments.fleet.Balancer;
 import org.cowslipstair.experiments.fleet.Loads;
 import org.cowslipstair.experiments.fleet.TrialFleet;
 import org.cowslipstair.experiments.load.HttpCallSender;
@@ -27,7 +28,6 @@
   private static final long END_MS = 46_000;
   private static final long ZONE_GRACE_MS = 4_000;
   private static final long CALL_TIMEOUT_MS = 5_000;
-  private static final long READINESS_POLL_MS = 100;
   private static final double NON_IDEMPOTENT_SHARE = 0.1;
   private static final int ANSWER_BYTES = 2_000;
 
@@ -57,13 +57,13 @@
   }
 
   boolean run() throws StoreException, InterruptedException {
-    Thread balancer = Thread.ofVirtual().start(this::followReadiness);
+    Balancer balancer = Balancer.start(fleet, sender);
     Thread progress = Thread.ofVirtual().start(this::showProgress);
     Thread script = Thread.ofVirtual().start(this::runEvents);
     load.run();
     script.join();
     progress.interrupt();
-    balancer.interrupt();
+    balancer.close();
     sender.close();
     DemoReport report = new DemoReport(fleet, load.results(), zone);
     System.out.println();
@@ -107,20 +107,6 @@
     TimeUnit.NANOSECONDS.sleep(Math.max(0, leftNs));
   }
 
-  private void followReadiness() {
-    try {
-      while (true) {
-        TimeUnit.MILLISECONDS.sleep(READINESS_POLL_MS);
-        var ready = fleet.readyAddresses();
-        if (!ready.isEmpty()) {
-          sender.setGateways(ready);
-        }
-      }
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
   private void showProgress() {
     try {
       while (true) {
--- a/experiments/src/main/java/org/cowslipstair/experiments/plan/ExperimentRun.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/plan/ExperimentRun.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.cowslipstair.adapters.settings.InvalidFileException;
 import org.cowslipstair.experiments.TrialException;
+import org.cowslipstair.experiments.fleet.Balancer;
 import org.cowslipstair.experiments.fleet.Deployment;
 import org.cowslipstair.experiments.fleet.Loads;
 import org.cowslipstair.experiments.fleet.TrialFleet;
@@ -24,7 +25,6 @@
   private static final long CALL_TIMEOUT_MS = 5_000;
   private static final int ANSWER_BYTES = 500;
   private static final long FIRST_WARM_UP_MS = 12_000;
-  private static final long READINESS_POLL_MS = 50;
   private static final long QUIET_MS = 500;
 
   private final Experiment experiment;
@@ -109,7 +109,7 @@
             fleet.readyAddresses(), experiment.name() + "-" + phases, CALL_TIMEOUT_MS);
     OpenLoopLoad load = new OpenLoopLoad(plan(percent, phaseMs), sender);
     AtomicReference<Exception> failure = new AtomicReference<>();
-    Thread balancer = Thread.ofVirtual().start(() -> followReadiness(sender));
+    Balancer balancer = Balancer.start(fleet, sender);
     LimitSampler sampler = new LimitSampler(fleet);
     Thread sampling = Thread.ofPlatform().daemon().start(sampler);
     Thread script = Thread.ofVirtual().start(() -> runEvents(events, phaseMs, failure));
@@ -117,7 +117,7 @@
     long startNs = System.nanoTime();
     load.run();
     script.join();
-    balancer.interrupt();
+    balancer.close();
     sampling.interrupt();
     result.add(
         load.results().values(),
@@ -168,18 +168,4 @@
       failure.set(e);
     }
   }
-
-  private void followReadiness(HttpCallSender sender) {
-    try {
-      while (true) {
-        TimeUnit.MILLISECONDS.sleep(READINESS_POLL_MS);
-        var ready = fleet.readyAddresses();
-        if (!ready.isEmpty()) {
-          sender.setGateways(ready);
-        }
-      }
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
 }
--- a/lib/src/main/java/org/cowslipstair/logic/call/HedgeDelays.java
+++ b/lib/src/main/java/org/cowslipstair/logic/call/HedgeDelays.java
@@ -6,18 +6,22 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLongArray;
+import org.cowslipstair.model.config.ServiceName;
 import org.cowslipstair.model.pool.PoolId;
+import org.jspecify.annotations.Nullable;
 
 /**
- * Measures how long the backend servers of each pool take, so that hedges wait for the 95th
- * percentile. Safe for use by many threads.
+ * Measures how long the backend servers of each pool and service take, so that hedges wait for the
+ * 95th percentile. Safe for use by many threads.
  */
 final class HedgeDelays {
   private static final double QUANTILE = 0.95;
   private static final int WINDOW = 256;
+  private static final long UNKNOWN_NS = -1;
   private static final int MIN_SAMPLES = 40;
   private static final int SAMPLES_PER_REFRESH = 16;
-  private final Map<PoolId, Window> windows = new ConcurrentHashMap<>();
+  private final Map<PoolId, Window> pools = new ConcurrentHashMap<>();
+  private final Map<ServiceName, Window> services = new ConcurrentHashMap<>();
   private final long minDelayNs;
 
   HedgeDelays(long minDelayNs) {
@@ -25,22 +29,33 @@
   }
 
   void add(PoolId pool, long timeNs) {
-    windows.computeIfAbsent(pool, _ -> new Window()).add(timeNs);
+    pools.computeIfAbsent(pool, _ -> new Window()).add(timeNs);
+    services.computeIfAbsent(pool.service(), _ -> new Window()).add(timeNs);
   }
 
-  /** Returns how long to wait before a hedge; empty while there are too few samples. */
+  /**
+   * Returns how long to wait before a hedge; empty while there are too few samples. A pool with few
+   * samples, such as one that calls spill to, takes the delay of its whole service.
+   */
   OptionalLong delayNs(PoolId pool) {
-    Window window = windows.get(pool);
-    if (window == null || window.quantileNs < 0) {
+    long quantileNs = quantileNs(pools.get(pool));
+    if (quantileNs < 0) {
+      quantileNs = quantileNs(services.get(pool.service()));
+    }
+    if (quantileNs < 0) {
       return OptionalLong.empty();
     }
-    return OptionalLong.of(Math.max(minDelayNs, window.quantileNs));
+    return OptionalLong.of(Math.max(minDelayNs, quantileNs));
+  }
+
+  private static long quantileNs(@Nullable Window window) {
+    return window == null ? UNKNOWN_NS : window.quantileNs;
   }
 
   private static final class Window {
     private final AtomicLongArray samples = new AtomicLongArray(WINDOW);
     private final AtomicInteger added = new AtomicInteger();
-    private volatile long quantileNs = -1;
+    private volatile long quantileNs = UNKNOWN_NS;
 
     void add(long timeNs) {
       int number = added.getAndIncrement();
