Give the trial commands one help option, and drop unused code

Change: TrialCommand is a base class with the option; the unused code is gone. Behaviour is the same. Left: Dialler computes a doubling, jittered delay of its own beside StoreBackoff; the two differ in where the doubling starts, so joining them changes the delays.

--- a/experiments/src/main/java/org/cowslipstair/experiments/TrialCommand.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/TrialCommand.java
@@ -1,10 +1,17 @@
 package org.cowslipstair.experiments;
 
+import com.beust.jcommander.Parameter;
+
 /** A command of the command line that runs a trial. */
-public interface TrialCommand {
+public abstract class TrialCommand {
+  @Parameter(names = "--help", description = "show this help", help = true)
+  private boolean help;
+
   /** Returns whether only the help was asked for. */
-  boolean wantsHelp();
+  public final boolean wantsHelp() {
+    return help;
+  }
 
   /** Runs the trial and returns whether everything held. */
-  boolean run() throws TrialException, InterruptedException;
+  public abstract boolean run() throws TrialException, InterruptedException;
 }
--- a/experiments/src/main/java/org/cowslipstair/experiments/bench/BenchCommand.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/bench/BenchCommand.java
@@ -13,7 +13,7 @@
 
 /** Runs the benchmarks of the request path in this process. */
 @Parameters(commandDescription = "run the benchmarks of the request path")
-public final class BenchCommand implements TrialCommand {
+public final class BenchCommand extends TrialCommand {
   @Parameter(names = "--include", description = "pattern of the benchmarks to run")
   private String include = "org.cowslipstair.experiments.bench";
 
@@ -23,14 +23,6 @@
   @Parameter(names = "--seconds", description = "time of each of three iterations")
   private int seconds = 2;
 
-  @Parameter(names = "--help", description = "show this help", help = true)
-  private boolean help;
-
-  @Override
-  public boolean wantsHelp() {
-    return help;
-  }
-
   @Override
   public boolean run() throws TrialException {
     Options options =
--- a/experiments/src/main/java/org/cowslipstair/experiments/cost/CostCommand.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/cost/CostCommand.java
@@ -18,7 +18,7 @@
 
 /** Measures the control of gateways without calls, at several sizes. */
 @Parameters(commandDescription = "measure what control costs a gateway, by size")
-public final class CostCommand implements TrialCommand {
+public final class CostCommand extends TrialCommand {
   private static final double NS_PER_S = 1e9;
   private static final double BYTES_PER_MIB = 1 << 20;
   private static final long SETTLE_MS = 4_000;
@@ -39,14 +39,6 @@
   @Parameter(names = "--seconds", description = "time of each measurement")
   private int seconds = 8;
 
-  @Parameter(names = "--help", description = "show this help", help = true)
-  private boolean help;
-
-  @Override
-  public boolean wantsHelp() {
-    return help;
-  }
-
   @Override
   public boolean run() throws TrialException, InterruptedException {
     TextTable table =
--- a/experiments/src/main/java/org/cowslipstair/experiments/demo/DemoCommand.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/demo/DemoCommand.java
@@ -14,7 +14,7 @@
 
 /** Runs a small fleet under load through the events that operators fear. */
 @Parameters(commandDescription = "run a fleet with stand-ins through outages, under a minute")
-public final class DemoCommand implements TrialCommand {
+public final class DemoCommand extends TrialCommand {
   private static final long SEED = 20_261_204L;
 
   @Parameter(names = "--deployment", description = "example to run: kilele or kantklos")
@@ -26,14 +26,6 @@
   @Parameter(names = "--utilization", description = "share of the slots that is busy, 0 to 1")
   private double utilization = 0.4;
 
-  @Parameter(names = "--help", description = "show this help", help = true)
-  private boolean help;
-
-  @Override
-  public boolean wantsHelp() {
-    return help;
-  }
-
   @Override
   public boolean run() throws TrialException, InterruptedException {
     ServiceTime serviceTime = ServiceTime.exponential(Demo.SERVICE_TIME_US);
--- a/experiments/src/main/java/org/cowslipstair/experiments/load/ServiceLoad.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/load/ServiceLoad.java
@@ -16,9 +16,4 @@
     String path,
     double callsPerSecond,
     double nonIdempotentShare,
-    int answerBytes) {
-  /** Returns the same load at another rate. */
-  public ServiceLoad withCallsPerSecond(double rate) {
-    return new ServiceLoad(service, host, path, rate, nonIdempotentShare, answerBytes);
-  }
-}
+    int answerBytes) {}
--- a/experiments/src/main/java/org/cowslipstair/experiments/plan/LoadCommand.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/plan/LoadCommand.java
@@ -10,21 +10,13 @@
 
 /** Runs an experiment from a file. */
 @Parameters(commandDescription = "compare policies under load, with stand-ins in one process")
-public final class LoadCommand implements TrialCommand {
+public final class LoadCommand extends TrialCommand {
   @Parameter(names = "--experiment", description = "file that describes the experiment")
   private String file = "experiments/plans/shifting.toml";
 
   @Parameter(names = "--out", description = "directory for tables and charts")
   private String out = "out";
 
-  @Parameter(names = "--help", description = "show this help", help = true)
-  private boolean help;
-
-  @Override
-  public boolean wantsHelp() {
-    return help;
-  }
-
   @Override
   public boolean run() throws TrialException, InterruptedException {
     try {
--- a/lib/src/main/java/org/cowslipstair/runtime/ProcessPauses.java
+++ b/lib/src/main/java/org/cowslipstair/runtime/ProcessPauses.java
@@ -4,7 +4,6 @@
 public final class ProcessPauses {
   private final long longestTurnNs;
   private long lastTurnNs;
-  private long pauses;
 
   /**
    * Creates the check.
@@ -20,14 +19,6 @@
   public boolean turn(long nowNs) {
     boolean paused = nowNs - lastTurnNs > longestTurnNs;
     lastTurnNs = nowNs;
-    if (paused) {
-      pauses++;
-    }
     return paused;
   }
-
-  /** Returns the number of pauses noticed. */
-  public long pauseCount() {
-    return pauses;
-  }
 }
