--- /dev/null
+++ b/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
@@ -0,0 +1,259 @@
+package org.cowslipstair.edge;
+
+import io.netty.channel.EventLoop;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.schedulers.Schedulers;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.cowslipstair.edge.backend.BackendTable;
+import org.cowslipstair.edge.backend.Prober;
+import org.cowslipstair.edge.caller.CallerContext;
+import org.cowslipstair.edge.caller.CallerServer;
+import org.cowslipstair.edge.exchange.ExchangeContext;
+import org.cowslipstair.edge.http.ServerConnector;
+import org.cowslipstair.edge.sync.CollectionFollower;
+import org.cowslipstair.logic.budget.ColdAllowance;
+import org.cowslipstair.logic.budget.ProbeAllowance;
+import org.cowslipstair.logic.placement.CandidateOrder;
+import org.cowslipstair.logic.traffic.TrafficKeeper;
+import org.cowslipstair.model.traffic.TrafficState;
+import org.cowslipstair.port.ObjectFeed;
+import org.cowslipstair.port.ObjectFeed.Collection;
+import org.cowslipstair.port.ObjectFeed.Freshness;
+import org.jboss.logging.Logger;
+
+/**
+ * A gateway: follows the store, answers callers, and stops in order. All of it lives on one event
+ * loop; methods of this class may be called from any thread.
+ */
+public final class FrontGateway implements CollectionFollower.Listener {
+  private static final Logger LOG = Logger.getLogger(FrontGateway.class);
+
+  /** Longest time to open a connection to a backend server; the network loses packets at times. */
+  private static final int CONNECT_TIMEOUT_MS = 1_000;
+
+  /** Part of the memory that request bodies may use. */
+  private static final int BODY_MEMORY_DIVISOR = 8;
+
+  /** Pause after the start before the other gateways are looked up, so that all are there. */
+  private static final long FIRST_GATEWAYS_MS = 2_000;
+
+  private static final long GATEWAYS_INTERVAL_MS = 20_000;
+
+  /** Time from a planned stop in which the balancer may still send new connections. */
+  private static final long STOP_NOTICE_MS = 3_200;
+
+  /** Time kept at the end of a planned stop. */
+  private static final long STOP_MARGIN_MS = 400;
+
+  private static final long STOP_POLL_MS = 50;
+  private static final long NS_PER_MS = 1_000_000L;
+
+  private final FrontSettings settings;
+  private final GatewayParts parts;
+  private final TrafficKeeper keeper;
+  private final BackendTable table;
+  private final ProbeAllowance probes;
+  private final CallerContext callers;
+  private final List<CollectionFollower> followers = new ArrayList<>();
+  private final Scheduler scheduler;
+  private List<String> gateways = List.of();
+  private volatile boolean complete;
+  private volatile boolean stopping;
+
+  private FrontGateway(FrontSettings settings, GatewayParts parts, GatewayLog log) {
+    this.settings = settings;
+    this.parts = parts;
+    this.keeper = new TrafficKeeper(parts.monitor());
+    this.scheduler = Schedulers.from(parts.loop());
+    ServerConnector connector =
+        new ServerConnector(parts.loop(), parts.headers().requestId(), CONNECT_TIMEOUT_MS);
+    this.table = new BackendTable(connector, parts.clock());
+    this.probes =
+        new ProbeAllowance(
+            settings.bounds().probesPerSecond(), parts.monitor(), parts.clock().nowNs());
+    Prober prober = new Prober(parts.loop(), table, parts.headers(), probes, parts.clock());
+    ExchangeContext exchanges =
+        new ExchangeContext(
+            new ExchangeContext.Parts(
+                parts.loop(),
+                parts.clock(),
+                parts.random(),
+                settings,
+                parts.headers(),
+                table,
+                prober,
+                new ExchangeContext.Fleet(
+                    () -> gateways,
+                    new ColdAllowance(settings.name(), parts.monitor()),
+                    new CandidateOrder(settings.name(), settings.zone(), parts.random()),
+                    parts.monitor()),
+                log));
+    this.callers =
+        new CallerContext(
+            exchanges,
+            log,
+            table,
+            parts.headers(),
+            parts.clock(),
+            settings.bounds().memoryBytes() / BODY_MEMORY_DIVISOR);
+  }
+
+  /** Starts a gateway; it is ready once it has read the configuration. */
+  public static FrontGateway start(FrontSettings settings, GatewayParts parts, GatewayLog log)
+      throws InterruptedException {
+    FrontGateway gateway = new FrontGateway(settings, parts, log);
+    parts.loop().execute(gateway::follow);
+    gateway.listen(log);
+    return gateway;
+  }
+
+  private void listen(GatewayLog log) throws InterruptedException {
+    EventLoop loop = parts.loop();
+    ReadyServer.open(
+        loop,
+        settings.readyAddress(),
+        Map.of(
+            "/readyz", () -> new ReadyServer.Page(isReady(), ""),
+            "/metrics", () -> new ReadyServer.Page(true, log.metrics())));
+    server = CallerServer.open(loop, settings.callerAddress(), callers);
+  }
+
+  private volatile CallerServer server;
+
+  private void follow() {
+    for (Collection collection :
+        List.of(Collection.CONFIGURATION, Collection.BACKENDS, Collection.ZONES_OUT)) {
+      CollectionFollower follower =
+          new CollectionFollower(
+              collection, parts.feed(), scheduler, parts.clock(), parts.random(), this);
+      followers.add(follower);
+      follower.start();
+    }
+    announce();
+  }
+
+  private void announce() {
+    parts
+        .feed()
+        .announce(settings.name())
+        .observeOn(scheduler)
+        .subscribe(
+            () -> lookUpGateways(FIRST_GATEWAYS_MS),
+            cause -> {
+              LOG.warnf("fleet: announcing this gateway failed: %s", cause.getMessage());
+              scheduler.scheduleDirect(this::announce, FIRST_GATEWAYS_MS, TimeUnit.MILLISECONDS);
+            });
+  }
+
+  private void lookUpGateways(long delayMs) {
+    scheduler.scheduleDirect(
+        () ->
+            parts
+                .feed()
+                .list(Collection.GATEWAYS, java.util.Optional.empty(), Freshness.CACHED)
+                .observeOn(scheduler)
+                .subscribe(
+                    page -> {
+                      listed(Collection.GATEWAYS, page.items(), page.revision(), false);
+                      lookUpGateways(nextLookUpMs());
+                    },
+                    cause -> {
+                      LOG.warnf("fleet: reading the gateways failed: %s", cause.getMessage());
+                      lookUpGateways(FIRST_GATEWAYS_MS);
+                    }),
+        delayMs,
+        TimeUnit.MILLISECONDS);
+  }
+
+  private long nextLookUpMs() {
+    return GATEWAYS_INTERVAL_MS / 2 + parts.random().nextLong(GATEWAYS_INTERVAL_MS);
+  }
+
+  @Override
+  public void listed(
+      Collection collection, List<ObjectFeed.Item> items, long revision, boolean afterOutage) {
+    keeper.replace(collection, items, revision, parts.clock().nowNs(), afterOutage);
+    refresh();
+  }
+
+  @Override
+  public void changed(Collection collection, ObjectFeed.Changes changes, boolean afterOutage) {
+    keeper.apply(collection, changes, parts.clock().nowNs(), afterOutage);
+    if (afterOutage) {
+      scheduler.scheduleDirect(this::refresh, TrafficKeeper.LAPSE_GRACE_NS, TimeUnit.NANOSECONDS);
+    }
+    refresh();
+  }
+
+  @Override
+  public void contact(Collection collection, boolean inContact, String cause) {
+    if (inContact) {
+      LOG.infof("store: %s is followed again", collection);
+    } else {
+      LOG.warnf("store: %s is not followed: %s", collection, cause);
+    }
+  }
+
+  private void refresh() {
+    for (TrafficKeeper.Fault fault : keeper.takeFaults()) {
+      LOG.warnf(
+          "store: %s \"%s\" cannot be read: %s", fault.collection(), fault.name(), fault.reason());
+    }
+    TrafficState state = keeper.state(parts.clock().nowNs());
+    table.update(state);
+    gateways = keeper.gateways();
+    table.gateways(gateways.size());
+    probes.share(Math.max(1, state.backends().size()), gateways.size());
+    if (!complete && keeper.isComplete()) {
+      complete = true;
+      LOG.infof("gateway: ready with configuration %d", state.plan().get().version());
+    }
+  }
+
+  /** Returns whether new connections are welcome. */
+  public boolean isReady() {
+    return complete && !stopping;
+  }
+
+  /** Returns the port for callers. */
+  public int callerPort() {
+    return server.port();
+  }
+
+  /**
+   * Stops in order: unready at once, serving while the balancer may still send, then without new
+   * connections, until the last request is answered or the time is up. Blocks.
+   */
+  public void stop() throws InterruptedException {
+    long startedNs = parts.clock().nowNs();
+    long endNs = startedNs + (settings.bounds().stopTimeoutMs() - STOP_MARGIN_MS) * NS_PER_MS;
+    long noticeNs =
+        startedNs + Math.min(STOP_NOTICE_MS, settings.bounds().stopTimeoutMs() / 2) * NS_PER_MS;
+    stopping = true;
+    LOG.info("gateway: stopping");
+    parts.loop().execute(callers::stopping);
+    boolean closed = false;
+    while (parts.clock().nowNs() < endNs) {
+      TimeUnit.MILLISECONDS.sleep(STOP_POLL_MS);
+      if (parts.clock().nowNs() < noticeNs) {
+        continue;
+      }
+      if (!closed) {
+        server.close();
+        closed = true;
+      }
+      if (parts.loop().submit(this::closeIdle).syncUninterruptibly().getNow()) {
+        break;
+      }
+    }
+    LOG.info("gateway: stopped");
+  }
+
+  private boolean closeIdle() {
+    callers.closeIdle();
+    return callers.connections() == 0;
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/cowslipstair/edge/backend/package-info.java
@@ -0,0 +1,5 @@
+/** Connections to backend servers and what is known of each. */
+@NullMarked
+package org.cowslipstair.edge.backend;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/edge/src/main/java/org/cowslipstair/edge/caller/package-info.java
@@ -0,0 +1,5 @@
+/** Connections of callers. */
+@NullMarked
+package org.cowslipstair.edge.caller;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Refusal.java
@@ -0,0 +1,44 @@
+package org.cowslipstair.edge.exchange;
+
+import io.netty.handler.codec.http.HttpResponseStatus;
+import org.cowslipstair.model.call.MayHaveRunReason;
+import org.cowslipstair.model.call.NotRunReason;
+
+/** An answer of this gateway's own in place of a backend server's. */
+public sealed interface Refusal {
+  /** Returns the status that tells the caller. */
+  HttpResponseStatus status();
+
+  /** Returns the reason for headers, logs and metrics, in lower case. */
+  String reasonName();
+
+  /** The request did not run and never will. */
+  record NotRun(NotRunReason reason) implements Refusal {
+    @Override
+    public HttpResponseStatus status() {
+      return reason == NotRunReason.NO_ROUTE
+          ? HttpResponseStatus.NOT_FOUND
+          : HttpResponseStatus.SERVICE_UNAVAILABLE;
+    }
+
+    @Override
+    public String reasonName() {
+      return reason.name().toLowerCase(java.util.Locale.ROOT);
+    }
+  }
+
+  /** The request was sent, and nothing proves that it did not run. */
+  record MayHaveRun(MayHaveRunReason reason) implements Refusal {
+    @Override
+    public HttpResponseStatus status() {
+      return reason == MayHaveRunReason.DEADLINE_PASSED
+          ? HttpResponseStatus.GATEWAY_TIMEOUT
+          : HttpResponseStatus.BAD_GATEWAY;
+    }
+
+    @Override
+    public String reasonName() {
+      return reason.name().toLowerCase(java.util.Locale.ROOT);
+    }
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/RequestMessage.java
@@ -0,0 +1,33 @@
+package org.cowslipstair.edge.exchange;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * A whole request of a caller.
+ *
+ * @param target path and query as the caller sent them
+ * @param body body; empty if there is none
+ * @param hasBody whether the caller framed a body, which may be empty
+ * @param requestId identity of the request
+ * @param callerDeadlineNs monotonic time until which the caller waits, if it said so
+ * @param arrivedNs monotonic time at which the head arrived
+ */
+public record RequestMessage(
+    HttpMethod method,
+    String target,
+    HttpHeaders headers,
+    ByteBuf body,
+    boolean hasBody,
+    Optional<String> requestId,
+    OptionalLong callerDeadlineNs,
+    long arrivedNs) {
+  /** Returns the path without the query. */
+  public String path() {
+    int query = target.indexOf('?');
+    return query < 0 ? target : target.substring(0, query);
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/cowslipstair/edge/http/ServerConnector.java
@@ -0,0 +1,93 @@
+package org.cowslipstair.edge.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.net.InetSocketAddress;
+import java.util.function.Consumer;
+import jdk.net.ExtendedSocketOptions;
+import org.cowslipstair.model.config.HostPort;
+
+/** Opens connections to servers. */
+public final class ServerConnector {
+  private static final int MAX_LINE_BYTES = 8 * 1024;
+  private static final int MAX_HEAD_BYTES = 64 * 1024;
+  private static final int CHUNK_BYTES = 64 * 1024;
+
+  /**
+   * Seconds without traffic after which the peer is asked whether it is there, and between asks.
+   */
+  private static final int KEEP_ALIVE_SECONDS = 1;
+
+  /** Unanswered asks after which a connection counts as dead. */
+  private static final int KEEP_ALIVE_COUNT = 2;
+
+  private final Bootstrap bootstrap;
+  private final String requestIdHeader;
+
+  /**
+   * Creates a connector.
+   *
+   * @param requestIdHeader header by which answers name their request
+   * @param connectTimeoutMs longest time to open a connection
+   */
+  public ServerConnector(EventLoop loop, String requestIdHeader, int connectTimeoutMs) {
+    this.requestIdHeader = requestIdHeader;
+    this.bootstrap =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.SO_KEEPALIVE, true)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_SECONDS)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_SECONDS)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_COUNT)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs);
+  }
+
+  /**
+   * Opens a connection.
+   *
+   * @param onClosed called once when an open connection is gone
+   * @param onOpen called when the connection is open
+   * @param onFailed called when it cannot be opened
+   */
+  public void connect(
+      HostPort address,
+      Runnable onClosed,
+      Consumer<ServerConnection> onOpen,
+      Consumer<Throwable> onFailed) {
+    ServerConnection connection = new ServerConnection(requestIdHeader, onClosed);
+    ChannelFuture opening =
+        bootstrap
+            .clone()
+            .handler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    channel
+                        .pipeline()
+                        .addLast(
+                            new HttpRequestEncoder(),
+                            new HttpResponseDecoder(MAX_LINE_BYTES, MAX_HEAD_BYTES, CHUNK_BYTES));
+                  }
+                })
+            .connect(new InetSocketAddress(address.host(), address.port()));
+    opening.addListener(
+        _ -> {
+          if (opening.isSuccess()) {
+            opening.channel().pipeline().addLast(connection);
+            onOpen.accept(connection);
+          } else {
+            onFailed.accept(opening.cause());
+          }
+        });
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/cowslipstair/edge/sync/CollectionFollower.java
@@ -0,0 +1,179 @@
+package org.cowslipstair.edge.sync;
+
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.disposables.SerialDisposable;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.cowslipstair.port.MonotonicClock;
+import org.cowslipstair.port.ObjectFeed;
+import org.cowslipstair.port.ObjectFeed.Collection;
+import org.cowslipstair.port.ObjectFeed.Freshness;
+import org.cowslipstair.port.ObjectFeed.Item;
+import org.cowslipstair.port.StoreException;
+import org.jboss.logging.Logger;
+
+/**
+ * Follows one collection: lists it, then watches it from the revision of the list. After a change
+ * it pauses before it watches again, so that changes which come close together cost one call. Lists
+ * anew where the store has lost the history. Lives on the event loop.
+ */
+public final class CollectionFollower {
+  private static final Logger LOG = Logger.getLogger(CollectionFollower.class);
+
+  /** Longest wait of one watch, in milliseconds; the store's own limit is 30 s. */
+  private static final long WATCH_MS = 25_000;
+
+  /** Pause before watching again, in which further changes gather. */
+  private static final long GATHER_MS = 250;
+
+  private static final long FIRST_BACKOFF_MS = 60;
+  private static final long LONGEST_BACKOFF_MS = 1_000;
+
+  /** An outage this long may have let entries lapse. */
+  private static final long LAPSING_OUTAGE_NS = 2_000_000_000L;
+
+  /** Time after an outage in which entries that lapsed come back. */
+  private static final long RETURN_NS = 2_000_000_000L;
+
+  private final Collection collection;
+  private final ObjectFeed feed;
+  private final Scheduler scheduler;
+  private final MonotonicClock clock;
+  private final RandomGenerator random;
+  private final Listener listener;
+  private final SerialDisposable call = new SerialDisposable();
+  private List<Item> pages = new ArrayList<>();
+  private long listRevision;
+  private long revision;
+  private int failures;
+  private long failingSinceNs;
+  private long outageEndedNs;
+  private boolean outageSeen;
+  private Freshness freshness = Freshness.CACHED;
+
+  /** Receives what the collection holds. */
+  public interface Listener {
+    /** The whole collection. */
+    void listed(Collection collection, List<Item> items, long revision, boolean afterOutage);
+
+    /** Changes since the last call. */
+    void changed(Collection collection, ObjectFeed.Changes changes, boolean afterOutage);
+
+    /** The store was lost or is back. */
+    void contact(Collection collection, boolean inContact, String cause);
+  }
+
+  /** Creates a follower. */
+  public CollectionFollower(
+      Collection collection,
+      ObjectFeed feed,
+      Scheduler scheduler,
+      MonotonicClock clock,
+      RandomGenerator random,
+      Listener listener) {
+    this.collection = collection;
+    this.feed = feed;
+    this.scheduler = scheduler;
+    this.clock = clock;
+    this.random = random;
+    this.listener = listener;
+  }
+
+  /** Starts to follow. */
+  public void start() {
+    list(Optional.empty());
+  }
+
+  /** Stops following. */
+  public void stop() {
+    call.dispose();
+  }
+
+  private void list(Optional<String> after) {
+    if (after.isEmpty()) {
+      pages = new ArrayList<>();
+      listRevision = 0;
+    }
+    call.set(
+        feed.list(collection, after, freshness)
+            .observeOn(scheduler)
+            .subscribe(this::listed, cause -> failed(cause, true)));
+  }
+
+  private void listed(ObjectFeed.Page page) {
+    pages.addAll(page.items());
+    listRevision = listRevision == 0 ? page.revision() : Math.min(listRevision, page.revision());
+    if (page.hasMore() && !page.items().isEmpty()) {
+      list(Optional.of(page.items().getLast().name()));
+      return;
+    }
+    succeeded();
+    revision = listRevision;
+    listener.listed(collection, pages, listRevision, isAfterOutage());
+    watch();
+  }
+
+  private void watch() {
+    call.set(
+        feed.watch(collection, revision, WATCH_MS)
+            .observeOn(scheduler)
+            .subscribe(this::changed, cause -> failed(cause, false)));
+  }
+
+  private void changed(ObjectFeed.Changes changes) {
+    succeeded();
+    revision = Math.max(revision, changes.revision());
+    boolean any = !changes.items().isEmpty() || !changes.deleted().isEmpty();
+    if (any) {
+      listener.changed(collection, changes, isAfterOutage());
+    }
+    later(this::watch, GATHER_MS);
+  }
+
+  private void succeeded() {
+    if (failures > 0) {
+      listener.contact(collection, true, "");
+      long nowNs = clock.nowNs();
+      if (nowNs - failingSinceNs >= LAPSING_OUTAGE_NS) {
+        outageSeen = true;
+        outageEndedNs = nowNs;
+      }
+    }
+    failures = 0;
+  }
+
+  private boolean isAfterOutage() {
+    return outageSeen && clock.nowNs() - outageEndedNs < RETURN_NS;
+  }
+
+  private void failed(Throwable cause, boolean listing) {
+    if (cause instanceof StoreException.RevisionGone) {
+      freshness = Freshness.LATEST;
+      list(Optional.empty());
+      return;
+    }
+    if (!(cause instanceof StoreException)) {
+      LOG.errorf(cause, "store: %s: unexpected failure", collection);
+    }
+    if (failures == 0) {
+      failingSinceNs = clock.nowNs();
+      listener.contact(collection, false, String.valueOf(cause.getMessage()));
+    }
+    failures++;
+    long delayMs = backoffMs();
+    later(listing ? () -> list(Optional.empty()) : this::watch, delayMs);
+  }
+
+  private long backoffMs() {
+    long base =
+        Math.min(LONGEST_BACKOFF_MS, FIRST_BACKOFF_MS << Math.min(10, Math.max(0, failures - 1)));
+    return base / 2 + random.nextLong(base);
+  }
+
+  private void later(Runnable action, long delayMs) {
+    call.set(scheduler.scheduleDirect(action, delayMs, TimeUnit.MILLISECONDS));
+  }
+}
--- /dev/null
+++ b/lib/src/main/java/org/cowslipstair/logic/placement/BackendRecord.java
@@ -0,0 +1,132 @@
+package org.cowslipstair.logic.placement;
+
+import org.cowslipstair.model.traffic.BackendInstance;
+import org.cowslipstair.model.traffic.LoadReport;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What this gateway has seen of one backend instance: its last report, the requests it has from
+ * here, and how it has failed. Not safe for use by many threads.
+ */
+public final class BackendRecord {
+  /** Weight of the newest outcome in the failure average; about the last six outcomes count. */
+  private static final double OUTCOME_WEIGHT = 0.3;
+
+  /** Time in which a remembered failure loses half of its weight. */
+  private static final double FAILURE_HALF_LIFE_NS = 3e9;
+
+  /** First pause after a failed connection; doubles up to the longest. */
+  private static final long FIRST_PAUSE_NS = 250_000_000L;
+
+  private static final long LONGEST_PAUSE_NS = 2_000_000_000L;
+
+  private BackendInstance instance;
+  private @Nullable LoadReport report;
+  private long reportedAtNs;
+  private int inFlight;
+  private double failureAverage;
+  private long failedAtNs;
+  private int unreachable;
+  private long pausedUntilNs;
+  private long coldUntilNs;
+  private boolean healthy = true;
+
+  /** Creates a record. */
+  public BackendRecord(BackendInstance instance, long nowNs) {
+    this.instance = instance;
+    this.coldUntilNs = instance.coldUntilNs();
+    this.pausedUntilNs = nowNs;
+    this.failedAtNs = nowNs;
+    this.reportedAtNs = nowNs;
+  }
+
+  /** Returns the backend instance. */
+  public BackendInstance instance() {
+    return instance;
+  }
+
+  /** Takes a newer entry of the same process life. */
+  public void update(BackendInstance newer) {
+    if (newer.coldUntilNs() != instance.coldUntilNs()) {
+      coldUntilNs = newer.coldUntilNs();
+    }
+    instance = newer;
+  }
+
+  /** Takes a report. */
+  public void reported(LoadReport newest, long nowNs) {
+    report = newest;
+    reportedAtNs = nowNs;
+  }
+
+  /**
+   * Takes the answer to a probe.
+   *
+   * @param isHealthy whether the backend server says that it takes requests
+   * @param newColdUntilNs monotonic time until which it says to be cold
+   */
+  public void probed(boolean isHealthy, long newColdUntilNs) {
+    healthy = isHealthy;
+    coldUntilNs = newColdUntilNs;
+    unreachable = 0;
+  }
+
+  /** Counts a request sent from here. */
+  public void started() {
+    inFlight++;
+  }
+
+  /** Counts the end of a request sent from here. */
+  public void ended() {
+    inFlight--;
+  }
+
+  /** Remembers whether a request ended well. */
+  public void outcome(boolean success, long nowNs) {
+    double before = failureShare(nowNs);
+    failureAverage = before + OUTCOME_WEIGHT * ((success ? 0 : 1) - before);
+    failedAtNs = nowNs;
+  }
+
+  /** Remembers that no connection could be opened or a probe stayed without an answer. */
+  public void unreachable(long nowNs) {
+    long pauseNs = Math.min(LONGEST_PAUSE_NS, FIRST_PAUSE_NS << Math.min(unreachable, 10));
+    unreachable++;
+    pausedUntilNs = Math.max(pausedUntilNs, nowNs + pauseNs);
+  }
+
+  /** Returns whether the backend server is left alone after it could not be reached. */
+  public boolean isPaused(long nowNs) {
+    return nowNs < pausedUntilNs;
+  }
+
+  /** Returns whether the backend server says that it takes requests. */
+  public boolean isHealthy() {
+    return healthy;
+  }
+
+  /** Returns whether the backend server is cold. */
+  public boolean isCold(long nowNs) {
+    return nowNs < coldUntilNs;
+  }
+
+  /** Returns the share of recent requests that failed, fading with time. */
+  public double failureShare(long nowNs) {
+    return failureAverage * Math.pow(0.5, (nowNs - failedAtNs) / FAILURE_HALF_LIFE_NS);
+  }
+
+  /** Returns the last report, or null if there was none. */
+  public @Nullable LoadReport report() {
+    return report;
+  }
+
+  /** Returns the monotonic time of the last report. */
+  public long reportedAtNs() {
+    return reportedAtNs;
+  }
+
+  /** Returns the requests sent from here that have not ended. */
+  public int inFlight() {
+    return inFlight;
+  }
+}
--- /dev/null
+++ b/lib/src/main/java/org/cowslipstair/logic/traffic/TrafficKeeper.java
@@ -0,0 +1,175 @@
+package org.cowslipstair.logic.traffic;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import org.cowslipstair.logic.invariant.Invariant;
+import org.cowslipstair.logic.invariant.InvariantMonitor;
+import org.cowslipstair.model.config.ZoneName;
+import org.cowslipstair.model.traffic.BackendInstance;
+import org.cowslipstair.model.traffic.TrafficPlan;
+import org.cowslipstair.model.traffic.TrafficState;
+import org.cowslipstair.port.ObjectFeed.Changes;
+import org.cowslipstair.port.ObjectFeed.Collection;
+import org.cowslipstair.port.ObjectFeed.Content;
+import org.cowslipstair.port.ObjectFeed.Item;
+
+/**
+ * Joins what the collections of the store say into one state. Nothing older ever replaces something
+ * newer: an object keeps its highest revision, the configuration its highest version. Not safe for
+ * use by many threads.
+ */
+public final class TrafficKeeper {
+  /** Time for which an entry that lapsed during an outage of the store may still come back. */
+  public static final long LAPSE_GRACE_NS = 2_000_000_000L;
+
+  private final InvariantMonitor monitor;
+  private final Map<Collection, Map<String, Item>> items = new HashMap<>();
+  private final Map<Collection, Long> revisions = new HashMap<>();
+  private final Map<String, Lapsed> lapsed = new HashMap<>();
+  private final List<Fault> faults = new ArrayList<>();
+  private Optional<TrafficPlan> plan = Optional.empty();
+
+  /** Creates a keeper that knows nothing. */
+  public TrafficKeeper(InvariantMonitor monitor) {
+    this.monitor = monitor;
+    for (Collection collection : Collection.values()) {
+      items.put(collection, new HashMap<>());
+    }
+  }
+
+  /** An object that could not be read. */
+  public record Fault(Collection collection, String name, String reason) {}
+
+  private record Lapsed(Item item, long untilNs) {}
+
+  /** Takes a whole collection as of one revision; does nothing if a newer one is known. */
+  public void replace(
+      Collection collection, List<Item> all, long revision, long nowNs, boolean afterOutage) {
+    if (revision < revisions.getOrDefault(collection, 0L)) {
+      return;
+    }
+    revisions.put(collection, revision);
+    Set<String> names = new HashSet<>();
+    for (Item item : all) {
+      names.add(item.name());
+      put(collection, item);
+    }
+    for (String known : List.copyOf(itemsOf(collection).keySet())) {
+      if (!names.contains(known)) {
+        remove(collection, known, nowNs, afterOutage);
+      }
+    }
+  }
+
+  /** Takes changes that follow on the known revision. */
+  public void apply(Collection collection, Changes changes, long nowNs, boolean afterOutage) {
+    long known = revisions.getOrDefault(collection, 0L);
+    revisions.put(collection, Math.max(known, changes.revision()));
+    changes.items().forEach(item -> put(collection, item));
+    changes.deleted().forEach(name -> remove(collection, name, nowNs, afterOutage));
+  }
+
+  private void put(Collection collection, Item item) {
+    Map<String, Item> known = itemsOf(collection);
+    Item before = known.get(item.name());
+    if (before != null && before.revision() >= item.revision()) {
+      return;
+    }
+    if (item.content() instanceof Content.Unreadable(String reason)) {
+      faults.add(new Fault(collection, item.name(), reason));
+      if (collection == Collection.CONFIGURATION) {
+        return;
+      }
+    }
+    known.put(item.name(), item);
+    lapsed.remove(item.name());
+    if (item.content() instanceof Content.Plan(TrafficPlan newer)) {
+      takePlan(newer);
+    }
+  }
+
+  private void takePlan(TrafficPlan newer) {
+    long inForce = plan.map(TrafficPlan::version).orElse(0L);
+    if (newer.version() >= inForce) {
+      plan = Optional.of(newer);
+    }
+    long now = plan.map(TrafficPlan::version).orElse(0L);
+    monitor.checkAtMost(Invariant.VERSION_NEVER_FALLS, "configuration", inForce, now);
+  }
+
+  private void remove(Collection collection, String name, long nowNs, boolean afterOutage) {
+    if (collection == Collection.CONFIGURATION) {
+      return;
+    }
+    Item gone = itemsOf(collection).remove(name);
+    if (gone != null && afterOutage && collection == Collection.BACKENDS) {
+      lapsed.put(name, new Lapsed(gone, nowNs + LAPSE_GRACE_NS));
+    }
+  }
+
+  private Map<String, Item> itemsOf(Collection collection) {
+    return items.computeIfAbsent(collection, _ -> new HashMap<>());
+  }
+
+  /** Returns the revision up to which a collection is complete, 0 if it was never read. */
+  public long revision(Collection collection) {
+    return revisions.getOrDefault(collection, 0L);
+  }
+
+  /** Returns whether everything that requests are routed by was read. */
+  public boolean isComplete() {
+    return plan.isPresent()
+        && revision(Collection.BACKENDS) > 0
+        && revision(Collection.ZONES_OUT) > 0;
+  }
+
+  /** Returns the names of the gateways that announced themselves. */
+  public List<String> gateways() {
+    Set<String> names = new TreeSet<>();
+    for (Item item : itemsOf(Collection.GATEWAYS).values()) {
+      if (item.content() instanceof Content.Gateway(String name)) {
+        names.add(name);
+      }
+    }
+    return List.copyOf(names);
+  }
+
+  /** Returns and clears the objects that could not be read. */
+  public List<Fault> takeFaults() {
+    List<Fault> taken = List.copyOf(faults);
+    faults.clear();
+    return taken;
+  }
+
+  /** Returns the state at the given time. */
+  public TrafficState state(long nowNs) {
+    if (plan.isEmpty()) {
+      return TrafficState.empty();
+    }
+    List<BackendInstance> backends = new ArrayList<>();
+    for (Item item : itemsOf(Collection.BACKENDS).values()) {
+      if (item.content() instanceof Content.Backend(BackendInstance backend)) {
+        backends.add(backend);
+      }
+    }
+    lapsed.values().removeIf(entry -> nowNs >= entry.untilNs);
+    for (Lapsed entry : lapsed.values()) {
+      if (entry.item.content() instanceof Content.Backend(BackendInstance backend)) {
+        backends.add(backend);
+      }
+    }
+    Set<ZoneName> zonesOut = new HashSet<>();
+    for (Item item : itemsOf(Collection.ZONES_OUT).values()) {
+      if (item.content() instanceof Content.ZoneOut(ZoneName zone)) {
+        zonesOut.add(zone);
+      }
+    }
+    return TrafficState.of(plan.get(), backends, zonesOut);
+  }
+}
--- /dev/null
+++ b/lib/src/main/java/org/cowslipstair/model/traffic/TrafficPlan.java
@@ -0,0 +1,85 @@
+package org.cowslipstair.model.traffic;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import org.cowslipstair.model.config.ServiceName;
+
+/** One version of the configuration, indexed for the request path. Immutable. */
+public final class TrafficPlan {
+  private final long version;
+  private final CallerBounds bounds;
+  private final Map<ServiceName, ServiceTraits> services = new HashMap<>();
+  private final Map<String, List<Route>> routesByHost = new HashMap<>();
+
+  /**
+   * Indexes a configuration.
+   *
+   * @param version rises with every accepted change
+   */
+  public TrafficPlan(
+      long version,
+      CallerBounds bounds,
+      Collection<ServiceTraits> services,
+      Collection<Route> routes) {
+    this.version = version;
+    this.bounds = bounds;
+    services.forEach(service -> this.services.put(service.name(), service));
+    for (Route route : routes) {
+      routesByHost.computeIfAbsent(route.host(), _ -> new ArrayList<>()).add(route);
+    }
+    Comparator<Route> longestFirst =
+        Comparator.comparingInt((Route route) -> route.pathPrefix().length()).reversed();
+    routesByHost.values().forEach(list -> list.sort(longestFirst));
+  }
+
+  /** Returns the version. */
+  public long version() {
+    return version;
+  }
+
+  /** Returns the bounds on what callers may send. */
+  public CallerBounds bounds() {
+    return bounds;
+  }
+
+  /** Finds a service. */
+  public Optional<ServiceTraits> service(ServiceName name) {
+    return Optional.ofNullable(services.get(name));
+  }
+
+  /** Returns all services. */
+  public Collection<ServiceTraits> services() {
+    return List.copyOf(services.values());
+  }
+
+  /** Returns all routes. */
+  public List<Route> routes() {
+    return routesByHost.values().stream().flatMap(List::stream).toList();
+  }
+
+  /**
+   * Finds the route of a host with the longest prefix of the path.
+   *
+   * @param host value of the Host header, with or without a port
+   */
+  public Optional<Route> route(String host, String path) {
+    for (Route route : routesByHost.getOrDefault(withoutPort(host), List.of())) {
+      if (path.startsWith(route.pathPrefix())) {
+        return Optional.of(route);
+      }
+    }
+    return Optional.empty();
+  }
+
+  private static String withoutPort(String host) {
+    int colon = host.lastIndexOf(':');
+    boolean hasPort = colon > host.lastIndexOf(']');
+    return (hasPort ? host.substring(0, colon) : host).toLowerCase(Locale.ROOT);
+  }
+}
--- /dev/null
+++ b/lib/src/main/java/org/cowslipstair/model/traffic/WeightedService.java
@@ -0,0 +1,17 @@
+package org.cowslipstair.model.traffic;
+
+import org.cowslipstair.model.config.ServiceName;
+
+/**
+ * One part of a traffic split.
+ *
+ * @param weight share of the requests relative to the other parts
+ */
+public record WeightedService(ServiceName service, double weight) {
+  /** Checks the weight. */
+  public WeightedService {
+    if (!(weight >= 0) || Double.isInfinite(weight)) {
+      throw new IllegalArgumentException("weight %s is not a finite share".formatted(weight));
+    }
+  }
+}
