--- a/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
+++ b/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
@@ -128,7 +128,13 @@
         List.of(Collection.CONFIGURATION, Collection.BACKENDS, Collection.ZONES_OUT)) {
       CollectionFollower follower =
           new CollectionFollower(
-              collection, parts.feed(), scheduler, parts.clock(), parts.random(), this);
+              collection,
+              parts.feed(),
+              scheduler,
+              parts.clock(),
+              parts.random(),
+              this,
+              settings.bounds().gatherMs());
       followers.add(follower);
       follower.start();
     }
--- a/edge/src/main/java/org/cowslipstair/edge/FrontSettings.java
+++ b/edge/src/main/java/org/cowslipstair/edge/FrontSettings.java
@@ -31,6 +31,8 @@
    * @param probesPerSecond probes that a backend server may get a second from all gateways
    * @param stopTimeoutMs time from a planned stop to the end of the process
    * @param memoryBytes memory that the process may use
+   * @param gatherMs pause after a change in the store, in which further changes gather
    */
-  public record FleetBounds(double probesPerSecond, long stopTimeoutMs, long memoryBytes) {}
+  public record FleetBounds(
+      double probesPerSecond, long stopTimeoutMs, long memoryBytes, long gatherMs) {}
 }
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
@@ -44,6 +44,11 @@
   /** Part of the retry budget that hedges leave for failures. */
   private static final double HEDGE_RESERVE_PART = 0.4;
 
+  /**
+   * Pause before a hedge is tried again that found no good backend server; the pace has changed.
+   */
+  private static final long HEDGE_AGAIN_MS = 60;
+
   private final ExchangeContext context;
   private final RequestMessage message;
   private final Route route;
@@ -115,6 +120,14 @@
               @Override
               public void placed(Placement.Chosen chosen) {
                 placement = null;
+                if (isHedge && !budget.tryTake(hedgeReserve())) {
+                  chosen
+                      .connection()
+                      .ifPresent(
+                          connection -> context.table().giveBack(chosen.entry(), connection));
+                  Exchange.this.notPlaced(NotRunReason.NO_FREE_SLOT, true);
+                  return;
+                }
                 Exchange.this.placed(chosen, cause);
               }
 
@@ -197,15 +210,21 @@
 
   private void hedgeDue() {
     boolean due = !done && running.size() == 1 && placement == null && streamed == null;
-    boolean affordable = budget.tokens() >= 1 + budget.capacity() * HEDGE_RESERVE_PART;
-    if (due && affordable && sends < route.maxAttempts()) {
-      budget.tryTake(0);
+    if (due && sends < route.maxAttempts() && budget.mayTake(hedgeReserve())) {
       place("hedge", true);
     }
   }
 
+  private double hedgeReserve() {
+    return budget.capacity() * HEDGE_RESERVE_PART;
+  }
+
   private void notPlaced(NotRunReason reason, boolean isHedge) {
-    if (done || isHedge && !running.isEmpty()) {
+    if (done) {
+      return;
+    }
+    if (isHedge && !running.isEmpty()) {
+      hedge = context.loop().schedule(this::hedgeDue, HEDGE_AGAIN_MS, TimeUnit.MILLISECONDS);
       return;
     }
     if (mayHaveRun > 0) {
--- a/edge/src/main/java/org/cowslipstair/edge/sync/CollectionFollower.java
+++ b/edge/src/main/java/org/cowslipstair/edge/sync/CollectionFollower.java
@@ -26,9 +26,6 @@
   /** Longest wait of one watch, in milliseconds; the store's own limit is 30 s. */
   private static final long WATCH_MS = 25_000;
 
-  /** Pause before watching again, in which further changes gather. */
-  private static final long GATHER_MS = 250;
-
   private static final long FIRST_BACKOFF_MS = 60;
   private static final long LONGEST_BACKOFF_MS = 1_000;
 
@@ -44,6 +41,7 @@
   private final MonotonicClock clock;
   private final RandomGenerator random;
   private final Listener listener;
+  private final long gatherMs;
   private final SerialDisposable call = new SerialDisposable();
   private List<Item> pages = new ArrayList<>();
   private long listRevision;
@@ -66,14 +64,20 @@
     void contact(Collection collection, boolean inContact, String cause);
   }
 
-  /** Creates a follower. */
+  /**
+   * Creates a follower.
+   *
+   * @param gatherMs pause after a change before watching again, in which further changes gather
+   */
   public CollectionFollower(
       Collection collection,
       ObjectFeed feed,
       Scheduler scheduler,
       MonotonicClock clock,
       RandomGenerator random,
-      Listener listener) {
+      Listener listener,
+      long gatherMs) {
+    this.gatherMs = gatherMs;
     this.collection = collection;
     this.feed = feed;
     this.scheduler = scheduler;
@@ -130,7 +134,7 @@
     if (any) {
       listener.changed(collection, changes, isAfterOutage());
     }
-    later(this::watch, GATHER_MS);
+    later(this::watch, gatherMs);
   }
 
   private void succeeded() {
--- a/lib/src/main/java/org/cowslipstair/logic/budget/RetryBudget.java
+++ b/lib/src/main/java/org/cowslipstair/logic/budget/RetryBudget.java
@@ -55,7 +55,7 @@
 
   /** Takes a token if there is one and at least the given number stays. */
   public boolean tryTake(double reserve) {
-    if (tokens < 1 + reserve) {
+    if (!mayTake(reserve)) {
       return false;
     }
     tokens -= 1;
@@ -64,9 +64,9 @@
     return true;
   }
 
-  /** Returns the tokens left. */
-  public double tokens() {
-    return tokens;
+  /** Returns whether {@link #tryTake} would succeed. */
+  public boolean mayTake(double reserve) {
+    return tokens >= 1 + reserve;
   }
 
   /** Returns the capacity. */
