List a collection anew after a watch is cut off

Ruled out: the decoder, the keeper (both lists arrived where the store answered). Change: after any failure the follower lists with the latest state. Test: CollectionFollowerTest.listsAnewWhenAWatchIsCutOff, red before.

--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
@@ -18,7 +18,6 @@
 import org.cowslipstair.edge.http.ServerConnection;
 import org.cowslipstair.logic.budget.RetryBudget;
 import org.cowslipstair.logic.invariant.Invariant;
-import org.cowslipstair.logic.invariant.Violation;
 import org.cowslipstair.model.call.MayHaveRunReason;
 import org.cowslipstair.model.call.NotRunReason;
 import org.cowslipstair.model.config.BackendName;
@@ -41,14 +40,6 @@
   /** Time kept between the caller's deadline and an answer of our own. */
   private static final long CALLER_MARGIN_NS = 20 * NS_PER_MS;
 
-  /** Part of the retry budget that hedges leave for failures. */
-  private static final double HEDGE_RESERVE_PART = 0.4;
-
-  /**
-   * Pause before a hedge is tried again that found no good backend server; the pace has changed.
-   */
-  private static final long HEDGE_AGAIN_MS = 60;
-
   private final ExchangeContext context;
   private final RequestMessage message;
   private final Route route;
@@ -60,9 +51,9 @@
   private final List<Attempt> running = new ArrayList<>();
   private final Set<BackendName> tried = new HashSet<>();
   private final Refusals refusals;
+  private final HedgeTimer hedge;
   private @Nullable Placement placement;
   private @Nullable ScheduledFuture<?> timeout;
-  private @Nullable ScheduledFuture<?> hedge;
   private @Nullable Attempt streamed;
   private MayHaveRunReason lastFailure = MayHaveRunReason.CONNECTION_LOST;
   private Attempt.Result.@Nullable Answered failureAnswer;
@@ -80,6 +71,7 @@
     this.service = context.nextService(route);
     this.budget = context.retryBudget(service);
     this.refusals = new Refusals(context);
+    this.hedge = new HedgeTimer(context, budget, this::hedgeDue);
     long timeoutNs = message.arrivedNs() + route.timeoutMs() * NS_PER_MS;
     long callerNs = message.callerDeadlineNs().orElse(Long.MAX_VALUE);
     this.endNs = Math.min(timeoutNs, callerNs - CALLER_MARGIN_NS);
@@ -107,11 +99,16 @@
 
   private void place(String cause, boolean isHedge) {
     long nowNs = context.nowNs();
-    double workNs = context.workTimes().averageNs(route.name(), route.targetLatencyMs());
     long offerNs = message.arrivedNs() + (long) (route.targetLatencyMs() * NS_PER_MS * OFFER_PART);
     Placement.Request wanted =
         new Placement.Request(
-            service, Set.copyOf(tried), workNs, targetNs, Math.max(offerNs, nowNs), endNs, isHedge);
+            service,
+            Set.copyOf(tried),
+            workNs(),
+            targetNs,
+            Math.max(offerNs, nowNs),
+            endNs,
+            isHedge);
     Placement started =
         new Placement(
             context,
@@ -120,7 +117,7 @@
               @Override
               public void placed(Placement.Chosen chosen) {
                 placement = null;
-                if (isHedge && !budget.tryTake(hedgeReserve())) {
+                if (isHedge && !hedge.tryTake()) {
                   chosen
                       .connection()
                       .ifPresent(
@@ -141,6 +138,10 @@
     started.start();
   }
 
+  private double workNs() {
+    return context.workTimes().averageNs(route.name(), route.targetLatencyMs());
+  }
+
   private void placed(Placement.Chosen chosen, String cause) {
     if (chosen.connection().isPresent()) {
       send(chosen, chosen.connection().get(), cause);
@@ -173,7 +174,7 @@
       return;
     }
     if (!route.kind().isRepeatable() && mayHaveRun > 0) {
-      violated(Invariant.NON_IDEMPOTENT_ONCE, mayHaveRun);
+      context.violated(Invariant.NON_IDEMPOTENT_ONCE, message, mayHaveRun);
       context.table().giveBack(entry, connection);
       return;
     }
@@ -195,36 +196,24 @@
                 (endNs - nowNs) / NS_PER_MS,
                 nowNs - message.arrivedNs()));
     attempt.send(message, endNs);
-    scheduleHedge();
-  }
-
-  private void scheduleHedge() {
-    if (!route.kind().isRepeatable() || sends >= route.maxAttempts() || hedge != null) {
-      return;
+    if (route.kind().isRepeatable() && sends < route.maxAttempts()) {
+      hedge.start(workNs(), targetNs);
     }
-    double workNs = context.workTimes().averageNs(route.name(), route.targetLatencyMs());
-    long latestNs = targetNs - (long) (1.3 * workNs);
-    long delayNs = Math.max(latestNs - context.nowNs(), (long) (1.1 * workNs));
-    hedge = context.loop().schedule(this::hedgeDue, delayNs, TimeUnit.NANOSECONDS);
   }
 
   private void hedgeDue() {
     boolean due = !done && running.size() == 1 && placement == null && streamed == null;
-    if (due && sends < route.maxAttempts() && budget.mayTake(hedgeReserve())) {
+    if (due && sends < route.maxAttempts()) {
       place("hedge", true);
     }
   }
 
-  private double hedgeReserve() {
-    return budget.capacity() * HEDGE_RESERVE_PART;
-  }
-
   private void notPlaced(NotRunReason reason, boolean isHedge) {
     if (done) {
       return;
     }
     if (isHedge && !running.isEmpty()) {
-      hedge = context.loop().schedule(this::hedgeDue, HEDGE_AGAIN_MS, TimeUnit.MILLISECONDS);
+      hedge.again();
       return;
     }
     if (mayHaveRun > 0) {
@@ -341,24 +330,19 @@
 
   private void refuse(Refusal refusal) {
     if (refusal instanceof Refusal.NotRun && mayHaveRun > 0) {
-      violated(Invariant.NOT_RUN_WAS_NOT_SENT, mayHaveRun);
+      context.violated(Invariant.NOT_RUN_WAS_NOT_SENT, message, mayHaveRun);
     }
     long callerLeftNs = message.callerDeadlineNs().orElse(endNs) - context.nowNs();
     refusals.write(responder, refusal, message.requestId(), callerLeftNs);
     finish(refusal.reasonName(), refusal.status().code());
   }
 
-  private void violated(Invariant invariant, long observed) {
-    context
-        .fleet()
-        .monitor()
-        .violated(new Violation(invariant, message.requestId().orElse(""), observed, 0));
-  }
-
   private void finish(String outcome, int status) {
     done = true;
-    cancel(timeout);
-    cancel(hedge);
+    if (timeout != null) {
+      timeout.cancel(false);
+    }
+    hedge.cancel();
     if (placement != null) {
       placement.cancel();
       placement = null;
@@ -383,12 +367,6 @@
                 context.nowNs() - message.arrivedNs()));
   }
 
-  private static void cancel(@Nullable ScheduledFuture<?> timer) {
-    if (timer != null) {
-      timer.cancel(false);
-    }
-  }
-
   @Override
   public boolean beginStream(Attempt attempt, HttpResponse head) {
     if (done || streamed != null) {
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
@@ -13,7 +13,9 @@
 import org.cowslipstair.logic.budget.ColdAllowance;
 import org.cowslipstair.logic.budget.RetryBudget;
 import org.cowslipstair.logic.budget.SplitSequence;
+import org.cowslipstair.logic.invariant.Invariant;
 import org.cowslipstair.logic.invariant.InvariantMonitor;
+import org.cowslipstair.logic.invariant.Violation;
 import org.cowslipstair.logic.placement.CandidateOrder;
 import org.cowslipstair.logic.placement.WorkTimes;
 import org.cowslipstair.model.config.ServiceName;
@@ -116,4 +118,9 @@
         .computeIfAbsent(route.name(), _ -> new SplitSequence(parts.random()))
         .next(route.services());
   }
+
+  void violated(Invariant invariant, RequestMessage message, long observed) {
+    String subject = message.requestId().orElse("");
+    parts.fleet().monitor().violated(new Violation(invariant, subject, observed, 0));
+  }
 }
--- a/edge/src/main/java/org/cowslipstair/edge/sync/CollectionFollower.java
+++ b/edge/src/main/java/org/cowslipstair/edge/sync/CollectionFollower.java
@@ -167,8 +167,8 @@
       listener.contact(collection, false, String.valueOf(cause.getMessage()));
     }
     failures++;
-    long delayMs = backoffMs();
-    later(listing ? () -> list(Optional.empty()) : this::watch, delayMs);
+    freshness = listing ? freshness : Freshness.LATEST;
+    later(() -> list(Optional.empty()), backoffMs());
   }
 
   private long backoffMs() {
--- /dev/null
+++ b/edge/src/test/java/org/cowslipstair/edge/sync/CollectionFollowerTest.java
@@ -0,0 +1,123 @@
+package org.cowslipstair.edge.sync;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+
+import io.reactivex.rxjava3.schedulers.TestScheduler;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.cowslipstair.port.ObjectFeed;
+import org.cowslipstair.port.ObjectFeed.Changes;
+import org.cowslipstair.port.ObjectFeed.Collection;
+import org.cowslipstair.port.ObjectFeed.Content;
+import org.cowslipstair.port.ObjectFeed.Item;
+import org.cowslipstair.port.ObjectFeed.Page;
+import org.cowslipstair.port.StoreException;
+import org.junit.jupiter.api.Test;
+
+final class CollectionFollowerTest {
+  private static final long GATHER_MS = 800;
+  private final TestScheduler scheduler = new TestScheduler();
+  private final FakeFeed feed = new FakeFeed();
+  private final List<String> heard = new ArrayList<>();
+  private final CollectionFollower follower =
+      new CollectionFollower(
+          Collection.BACKENDS,
+          feed,
+          scheduler,
+          () -> scheduler.now(TimeUnit.NANOSECONDS),
+          new Random(1),
+          new Recorder(),
+          GATHER_MS);
+
+  private static Item item(String name) {
+    return new Item(name, 1, new Content.Gateway(name));
+  }
+
+  private void listed(long revision, boolean hasMore, Item... items) {
+    feed.lists.remove().onSuccess(new Page(List.of(items), hasMore, revision));
+    scheduler.triggerActions();
+  }
+
+  private void advance(long ms) {
+    scheduler.advanceTimeBy(ms, TimeUnit.MILLISECONDS);
+  }
+
+  @Test
+  void watchesFromTheRevisionOfTheFirstPage() {
+    follower.start();
+    listed(7, true, item("a"));
+    listed(9, false, item("b"));
+    assertThat(feed.calls, contains("list CACHED", "list CACHED after a", "watch 7"));
+    assertThat(heard, contains("listed 2 at 7"));
+  }
+
+  @Test
+  void gathersChangesBeforeItWatchesAgain() {
+    follower.start();
+    listed(7, false);
+    feed.watches.remove().onSuccess(new Changes(List.of(item("a")), Set.of(), 8));
+    advance(GATHER_MS - 1);
+    assertThat(feed.watches.size(), is(0));
+    advance(1);
+    assertThat(feed.calls, contains("list CACHED", "watch 7", "watch 8"));
+  }
+
+  @Test
+  void listsAnewWhenAWatchIsCutOff() {
+    follower.start();
+    listed(7, false);
+    feed.watches.remove().onError(new StoreException.AnswerLost("watch", "reset"));
+    advance(200);
+    assertThat(feed.calls, contains("list CACHED", "watch 7", "list LATEST"));
+  }
+
+  @Test
+  void listsAnewWhenTheHistoryIsGone() {
+    follower.start();
+    listed(7, false);
+    feed.watches.remove().onError(new StoreException.RevisionGone(7));
+    scheduler.triggerActions();
+    assertThat(feed.calls, contains("list CACHED", "watch 7", "list LATEST"));
+  }
+
+  @Test
+  void reportsALongOutageWithTheNextList() {
+    follower.start();
+    listed(7, false);
+    feed.watches.remove().onError(new StoreException.Unavailable("watch", "status 503"));
+    for (int i = 0; i < 5; i++) {
+      advance(2_000);
+      feed.lists.remove().onError(new StoreException.Unavailable("list", "status 503"));
+      scheduler.triggerActions();
+    }
+    advance(2_000);
+    listed(9, false);
+    assertThat(
+        heard, contains("listed 0 at 7", "contact lost", "contact", "listed 0 at 9 after outage"));
+  }
+
+  private final class Recorder implements CollectionFollower.Listener {
+    @Override
+    public void listed(
+        Collection collection, List<Item> items, long revision, boolean afterOutage) {
+      heard.add(
+          "listed %d at %d%s"
+              .formatted(items.size(), revision, afterOutage ? " after outage" : ""));
+    }
+
+    @Override
+    public void changed(Collection collection, ObjectFeed.Changes changes, boolean afterOutage) {
+      heard.add("changed " + changes.items().size());
+    }
+
+    @Override
+    public void contact(Collection collection, boolean inContact, String cause) {
+      heard.add(inContact ? "contact" : "contact lost");
+    }
+  }
+}
