--- a/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
+++ b/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
@@ -1,9 +1,6 @@
 package org.cowslipstair.edge;
 
 import io.netty.channel.EventLoop;
-import io.reactivex.rxjava3.core.Scheduler;
-import io.reactivex.rxjava3.schedulers.Schedulers;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -13,22 +10,20 @@
 import org.cowslipstair.edge.caller.CallerServer;
 import org.cowslipstair.edge.exchange.ExchangeContext;
 import org.cowslipstair.edge.http.ServerConnector;
-import org.cowslipstair.edge.sync.CollectionFollower;
+import org.cowslipstair.edge.relay.StateSync;
 import org.cowslipstair.logic.budget.ColdAllowance;
 import org.cowslipstair.logic.budget.ProbeAllowance;
 import org.cowslipstair.logic.placement.CandidateOrder;
 import org.cowslipstair.logic.traffic.TrafficKeeper;
+import org.cowslipstair.model.traffic.GatewayEntry;
 import org.cowslipstair.model.traffic.TrafficState;
-import org.cowslipstair.port.ObjectFeed;
-import org.cowslipstair.port.ObjectFeed.Collection;
-import org.cowslipstair.port.ObjectFeed.Freshness;
 import org.jboss.logging.Logger;
 
 /**
  * A gateway: follows the store, answers callers, and stops in order. All of it lives on one event
  * loop; methods of this class may be called from any thread.
  */
-public final class FrontGateway implements CollectionFollower.Listener {
+public final class FrontGateway {
   private static final Logger LOG = Logger.getLogger(FrontGateway.class);
 
   /** Longest time to open a connection to a backend server; the network loses packets at times. */
@@ -37,11 +32,6 @@
   /** Part of the memory that request bodies may use. */
   private static final int BODY_MEMORY_DIVISOR = 8;
 
-  /** Pause after the start before the other gateways are looked up, so that all are there. */
-  private static final long FIRST_GATEWAYS_MS = 2_000;
-
-  private static final long GATEWAYS_INTERVAL_MS = 20_000;
-
   /** Time from a planned stop in which the balancer may still send new connections. */
   private static final long STOP_NOTICE_MS = 3_200;
 
@@ -57,8 +47,7 @@
   private final BackendTable table;
   private final ProbeAllowance probes;
   private final CallerContext callers;
-  private final List<CollectionFollower> followers = new ArrayList<>();
-  private final Scheduler scheduler;
+  private final StateSync sync;
   private List<String> gateways = List.of();
   private volatile boolean complete;
   private volatile boolean stopping;
@@ -67,7 +56,7 @@
     this.settings = settings;
     this.parts = parts;
     this.keeper = new TrafficKeeper(parts.monitor());
-    this.scheduler = Schedulers.from(parts.loop());
+    this.sync = new StateSync(settings, parts, keeper, this::refresh);
     ServerConnector connector =
         new ServerConnector(parts.loop(), parts.headers().requestId(), CONNECT_TIMEOUT_MS);
     this.table = new BackendTable(connector, parts.clock());
@@ -105,8 +94,8 @@
   public static FrontGateway start(FrontSettings settings, GatewayParts parts, GatewayLog log)
       throws InterruptedException {
     FrontGateway gateway = new FrontGateway(settings, parts, log);
-    parts.loop().execute(gateway::follow);
     gateway.listen(log);
+    gateway.sync.start();
     return gateway;
   }
 
@@ -123,86 +112,6 @@
 
   private volatile CallerServer server;
 
-  private void follow() {
-    for (Collection collection :
-        List.of(Collection.CONFIGURATION, Collection.BACKENDS, Collection.ZONES_OUT)) {
-      CollectionFollower follower =
-          new CollectionFollower(
-              collection,
-              parts.feed(),
-              scheduler,
-              parts.clock(),
-              parts.random(),
-              this,
-              settings.bounds().gatherMs());
-      followers.add(follower);
-      follower.start();
-    }
-    announce();
-  }
-
-  private void announce() {
-    parts
-        .feed()
-        .announce(settings.name())
-        .observeOn(scheduler)
-        .subscribe(
-            () -> lookUpGateways(FIRST_GATEWAYS_MS),
-            cause -> {
-              LOG.warnf("fleet: announcing this gateway failed: %s", cause.getMessage());
-              scheduler.scheduleDirect(this::announce, FIRST_GATEWAYS_MS, TimeUnit.MILLISECONDS);
-            });
-  }
-
-  private void lookUpGateways(long delayMs) {
-    scheduler.scheduleDirect(
-        () ->
-            parts
-                .feed()
-                .list(Collection.GATEWAYS, java.util.Optional.empty(), Freshness.CACHED)
-                .observeOn(scheduler)
-                .subscribe(
-                    page -> {
-                      listed(Collection.GATEWAYS, page.items(), page.revision(), false);
-                      lookUpGateways(nextLookUpMs());
-                    },
-                    cause -> {
-                      LOG.warnf("fleet: reading the gateways failed: %s", cause.getMessage());
-                      lookUpGateways(FIRST_GATEWAYS_MS);
-                    }),
-        delayMs,
-        TimeUnit.MILLISECONDS);
-  }
-
-  private long nextLookUpMs() {
-    return GATEWAYS_INTERVAL_MS / 2 + parts.random().nextLong(GATEWAYS_INTERVAL_MS);
-  }
-
-  @Override
-  public void listed(
-      Collection collection, List<ObjectFeed.Item> items, long revision, boolean afterOutage) {
-    keeper.replace(collection, items, revision, parts.clock().nowNs(), afterOutage);
-    refresh();
-  }
-
-  @Override
-  public void changed(Collection collection, ObjectFeed.Changes changes, boolean afterOutage) {
-    keeper.apply(collection, changes, parts.clock().nowNs(), afterOutage);
-    if (afterOutage) {
-      scheduler.scheduleDirect(this::refresh, TrafficKeeper.LAPSE_GRACE_NS, TimeUnit.NANOSECONDS);
-    }
-    refresh();
-  }
-
-  @Override
-  public void contact(Collection collection, boolean inContact, String cause) {
-    if (inContact) {
-      LOG.infof("store: %s is followed again", collection);
-    } else {
-      LOG.warnf("store: %s is not followed: %s", collection, cause);
-    }
-  }
-
   private void refresh() {
     for (TrafficKeeper.Fault fault : keeper.takeFaults()) {
       LOG.warnf(
@@ -210,7 +119,7 @@
     }
     TrafficState state = keeper.state(parts.clock().nowNs());
     table.update(state);
-    gateways = keeper.gateways();
+    gateways = keeper.gateways().stream().map(GatewayEntry::name).toList();
     table.gateways(gateways.size());
     probes.share(Math.max(1, state.backends().size()), gateways.size());
     if (!complete && keeper.isComplete()) {
--- /dev/null
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/PlanCodec.java
@@ -0,0 +1,102 @@
+package org.cowslipstair.edge.relay;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.cowslipstair.model.config.ServiceName;
+import org.cowslipstair.model.traffic.CallerBounds;
+import org.cowslipstair.model.traffic.RequestKind;
+import org.cowslipstair.model.traffic.Route;
+import org.cowslipstair.model.traffic.ServiceTraits;
+import org.cowslipstair.model.traffic.TrafficPlan;
+import org.cowslipstair.model.traffic.WeightedService;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Encodes a configuration as MessagePack. */
+final class PlanCodec {
+  private PlanCodec() {}
+
+  static void pack(MessageBufferPacker packer, TrafficPlan plan) throws IOException {
+    CallerBounds bounds = plan.bounds();
+    packer
+        .packLong(plan.version())
+        .packInt(bounds.maxHeadBytes())
+        .packLong(bounds.maxBodyBytes())
+        .packLong(bounds.headTimeoutMs())
+        .packLong(bounds.idleTimeoutMs());
+    packer.packArrayHeader(plan.services().size());
+    for (ServiceTraits service : plan.services()) {
+      packer
+          .packString(service.name().value())
+          .packString(service.healthPath())
+          .packInt(service.maxConnections())
+          .packDouble(service.coldRequestsPerSecond());
+    }
+    packer.packArrayHeader(plan.routes().size());
+    for (Route route : plan.routes()) {
+      packRoute(packer, route);
+    }
+  }
+
+  private static void packRoute(MessageBufferPacker packer, Route route) throws IOException {
+    packer
+        .packString(route.name())
+        .packString(route.host())
+        .packString(route.pathPrefix())
+        .packInt(route.kind().ordinal())
+        .packLong(route.timeoutMs())
+        .packLong(route.targetLatencyMs())
+        .packInt(route.priority())
+        .packInt(route.maxAttempts())
+        .packArrayHeader(route.services().size());
+    for (WeightedService service : route.services()) {
+      packer.packString(service.service().value()).packDouble(service.weight());
+    }
+  }
+
+  static TrafficPlan unpack(MessageUnpacker unpacker) throws IOException {
+    long version = unpacker.unpackLong();
+    CallerBounds bounds =
+        new CallerBounds(
+            unpacker.unpackInt(),
+            unpacker.unpackLong(),
+            unpacker.unpackLong(),
+            unpacker.unpackLong());
+    List<ServiceTraits> services = new ArrayList<>();
+    int serviceCount = unpacker.unpackArrayHeader();
+    for (int i = 0; i < serviceCount; i++) {
+      services.add(
+          new ServiceTraits(
+              new ServiceName(unpacker.unpackString()),
+              unpacker.unpackString(),
+              unpacker.unpackInt(),
+              unpacker.unpackDouble()));
+    }
+    List<Route> routes = new ArrayList<>();
+    int routeCount = unpacker.unpackArrayHeader();
+    for (int i = 0; i < routeCount; i++) {
+      routes.add(unpackRoute(unpacker));
+    }
+    return new TrafficPlan(version, bounds, services, routes);
+  }
+
+  private static Route unpackRoute(MessageUnpacker unpacker) throws IOException {
+    String name = unpacker.unpackString();
+    String host = unpacker.unpackString();
+    String pathPrefix = unpacker.unpackString();
+    RequestKind kind = RequestKind.values()[unpacker.unpackInt()];
+    long timeoutMs = unpacker.unpackLong();
+    long targetLatencyMs = unpacker.unpackLong();
+    int priority = unpacker.unpackInt();
+    int maxAttempts = unpacker.unpackInt();
+    List<WeightedService> services = new ArrayList<>();
+    int count = unpacker.unpackArrayHeader();
+    for (int i = 0; i < count; i++) {
+      services.add(
+          new WeightedService(new ServiceName(unpacker.unpackString()), unpacker.unpackDouble()));
+    }
+    return new Route(
+        name, host, pathPrefix, kind, timeoutMs, targetLatencyMs, priority, maxAttempts, services);
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/RelayCodec.java
@@ -0,0 +1,181 @@
+package org.cowslipstair.edge.relay;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.cowslipstair.model.config.BackendName;
+import org.cowslipstair.model.config.HostPort;
+import org.cowslipstair.model.config.ServiceName;
+import org.cowslipstair.model.config.ZoneName;
+import org.cowslipstair.model.traffic.BackendInstance;
+import org.cowslipstair.model.traffic.GatewayEntry;
+import org.cowslipstair.port.MonotonicClock;
+import org.cowslipstair.port.ObjectFeed.Changes;
+import org.cowslipstair.port.ObjectFeed.Collection;
+import org.cowslipstair.port.ObjectFeed.Content;
+import org.cowslipstair.port.ObjectFeed.Item;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Encodes messages as MessagePack. Times go as what is left of them, as the clocks of two processes
+ * are never compared.
+ */
+final class RelayCodec {
+  private static final int SNAPSHOT = 1;
+  private static final int CHANGED = 2;
+  private static final int PROOF = 3;
+  private static final int PLAN = 1;
+  private static final int BACKEND = 2;
+  private static final int ZONE_OUT = 3;
+  private static final int GATEWAY = 4;
+  private static final int UNREADABLE = 0;
+  private static final long NS_PER_MS = 1_000_000L;
+
+  private final MonotonicClock clock;
+
+  RelayCodec(MonotonicClock clock) {
+    this.clock = clock;
+  }
+
+  byte[] encode(RelayMessage message) {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      switch (message) {
+        case RelayMessage.Snapshot(var collection, long revision, var items) -> {
+          packer.packInt(SNAPSHOT).packInt(collection.ordinal()).packLong(revision);
+          packItems(packer, items);
+        }
+        case RelayMessage.Changed(var collection, Changes changes, boolean afterOutage) -> {
+          packer.packInt(CHANGED).packInt(collection.ordinal()).packLong(changes.revision());
+          packItems(packer, changes.items());
+          packer.packArrayHeader(changes.deleted().size());
+          for (String name : changes.deleted()) {
+            packer.packString(name);
+          }
+          packer.packBoolean(afterOutage);
+        }
+        case RelayMessage.Proof(long ageMs) -> packer.packInt(PROOF).packLong(ageMs);
+      }
+      return packer.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException("writing to memory failed", e);
+    }
+  }
+
+  RelayMessage decode(byte[] bytes) throws RelayException {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+      int type = unpacker.unpackInt();
+      return switch (type) {
+        case SNAPSHOT ->
+            new RelayMessage.Snapshot(
+                collection(unpacker), unpacker.unpackLong(), unpackItems(unpacker));
+        case CHANGED -> {
+          Collection collection = collection(unpacker);
+          long revision = unpacker.unpackLong();
+          List<Item> items = unpackItems(unpacker);
+          Set<String> deleted = new HashSet<>();
+          int count = unpacker.unpackArrayHeader();
+          for (int i = 0; i < count; i++) {
+            deleted.add(unpacker.unpackString());
+          }
+          boolean afterOutage = unpacker.unpackBoolean();
+          yield new RelayMessage.Changed(
+              collection, new Changes(items, deleted, revision), afterOutage);
+        }
+        case PROOF -> new RelayMessage.Proof(unpacker.unpackLong());
+        default -> throw new RelayException("message type " + type);
+      };
+    } catch (IOException | RuntimeException e) {
+      throw new RelayException(String.valueOf(e.getMessage()));
+    }
+  }
+
+  private static Collection collection(MessageUnpacker unpacker)
+      throws IOException, RelayException {
+    int ordinal = unpacker.unpackInt();
+    if (ordinal < 0 || ordinal >= Collection.values().length) {
+      throw new RelayException("collection " + ordinal);
+    }
+    return Collection.values()[ordinal];
+  }
+
+  private void packItems(MessageBufferPacker packer, List<Item> items) throws IOException {
+    packer.packArrayHeader(items.size());
+    for (Item item : items) {
+      packer.packString(item.name()).packLong(item.revision());
+      switch (item.content()) {
+        case Content.Plan(var plan) -> {
+          packer.packInt(PLAN);
+          PlanCodec.pack(packer, plan);
+        }
+        case Content.Backend(BackendInstance backend) -> {
+          packer.packInt(BACKEND);
+          packBackend(packer, backend);
+        }
+        case Content.ZoneOut(ZoneName zone) -> packer.packInt(ZONE_OUT).packString(zone.value());
+        case Content.Gateway(var gateway) ->
+            packer
+                .packInt(GATEWAY)
+                .packString(gateway.name())
+                .packString(gateway.zone().value())
+                .packString(gateway.relayAddress().host())
+                .packInt(gateway.relayAddress().port());
+        case Content.Unreadable _ -> packer.packInt(UNREADABLE);
+      }
+    }
+  }
+
+  private List<Item> unpackItems(MessageUnpacker unpacker) throws IOException {
+    List<Item> items = new ArrayList<>();
+    int count = unpacker.unpackArrayHeader();
+    for (int i = 0; i < count; i++) {
+      String name = unpacker.unpackString();
+      long revision = unpacker.unpackLong();
+      Content content =
+          switch (unpacker.unpackInt()) {
+            case PLAN -> new Content.Plan(PlanCodec.unpack(unpacker));
+            case BACKEND -> new Content.Backend(unpackBackend(unpacker));
+            case ZONE_OUT -> new Content.ZoneOut(new ZoneName(unpacker.unpackString()));
+            case GATEWAY -> new Content.Gateway(unpackGateway(unpacker));
+            default -> new Content.Unreadable("not readable for the sender");
+          };
+      items.add(new Item(name, revision, content));
+    }
+    return items;
+  }
+
+  private static GatewayEntry unpackGateway(MessageUnpacker unpacker) throws IOException {
+    return new GatewayEntry(
+        unpacker.unpackString(),
+        new ZoneName(unpacker.unpackString()),
+        new HostPort(unpacker.unpackString(), unpacker.unpackInt()));
+  }
+
+  private void packBackend(MessageBufferPacker packer, BackendInstance backend) throws IOException {
+    packer
+        .packString(backend.name().value())
+        .packString(backend.service().value())
+        .packString(backend.address().host())
+        .packInt(backend.address().port())
+        .packString(backend.zone().value())
+        .packInt(backend.slots())
+        .packBoolean(backend.leaving())
+        .packLong(Math.max(0, (backend.coldUntilNs() - clock.nowNs()) / NS_PER_MS))
+        .packLong(backend.bornUnixMs());
+  }
+
+  private BackendInstance unpackBackend(MessageUnpacker unpacker) throws IOException {
+    return new BackendInstance(
+        new BackendName(unpacker.unpackString()),
+        new ServiceName(unpacker.unpackString()),
+        new HostPort(unpacker.unpackString(), unpacker.unpackInt()),
+        new ZoneName(unpacker.unpackString()),
+        unpacker.unpackInt(),
+        unpacker.unpackBoolean(),
+        clock.nowNs() + unpacker.unpackLong() * NS_PER_MS,
+        unpacker.unpackLong());
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/RelaySubscriptions.java
@@ -0,0 +1,132 @@
+package org.cowslipstair.edge.relay;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.cowslipstair.edge.FrontSettings;
+import org.cowslipstair.logic.relay.WatcherRoles;
+import org.cowslipstair.model.config.HostPort;
+import org.cowslipstair.model.traffic.GatewayEntry;
+import org.cowslipstair.port.MonotonicClock;
+
+/** The subscriptions of one gateway to those that watch the store for it. */
+final class RelaySubscriptions {
+  /**
+   * Oldest proof that counts as fresh. A watcher proves its contact twice a second; two missing
+   * proofs leave most of the time in which a change has to be in force.
+   */
+  private static final long FRESH_MS = 1_100;
+
+  /** Time of fresh proof after which this gateway stops watching itself. */
+  private static final long STEADY_NS = 3_000_000_000L;
+
+  /** Time after which subscriptions to seeds end; by then the fleet is known. */
+  private static final long SEED_NS = 4_000_000_000L;
+
+  private final FrontSettings settings;
+  private final EventLoop loop;
+  private final MonotonicClock clock;
+  private final Consumer<RelayMessage> consumer;
+  private final WatcherRoles roles;
+  private final Map<String, RelayLink> links = new HashMap<>();
+  private final List<RelayLink> seeds = new ArrayList<>();
+  private final long startedNs;
+  private boolean fresh;
+  private long freshSinceNs;
+
+  RelaySubscriptions(
+      FrontSettings settings,
+      EventLoop loop,
+      MonotonicClock clock,
+      Consumer<RelayMessage> consumer) {
+    this.settings = settings;
+    this.loop = loop;
+    this.clock = clock;
+    this.consumer = consumer;
+    this.roles = new WatcherRoles(settings.name(), settings.zone());
+    this.startedNs = clock.nowNs();
+  }
+
+  /** Subscribes to the seeds, so that a state is there even while the store is out of reach. */
+  void openSeeds() {
+    for (HostPort seed : settings.relay().seeds()) {
+      if (!seed.equals(settings.relay().address())) {
+        GatewayEntry entry = new GatewayEntry(seed.toString(), settings.zone(), seed);
+        RelayLink link = new RelayLink(entry, clock, consumer::accept);
+        seeds.add(link);
+        link.open(loop);
+      }
+    }
+  }
+
+  /**
+   * Keeps a subscription to each watcher of the zone.
+   *
+   * @return whether this gateway is a watcher itself
+   */
+  boolean update(List<GatewayEntry> gateways, GatewayEntry self, long nowNs) {
+    if (nowNs - startedNs > SEED_NS) {
+      seeds.forEach(RelayLink::close);
+      seeds.clear();
+    }
+    dropStale(nowNs);
+    List<GatewayEntry> watchers = roles.watchers(gateways, nowNs);
+    boolean isWatcher = watchers.stream().anyMatch(watcher -> watcher.name().equals(self.name()));
+    for (GatewayEntry watcher : watchers) {
+      boolean isOther = !watcher.name().equals(self.name());
+      if (!isWatcher && isOther && !links.containsKey(watcher.name())) {
+        RelayLink link = new RelayLink(watcher, clock, consumer::accept);
+        links.put(watcher.name(), link);
+        link.open(loop);
+      }
+    }
+    links
+        .values()
+        .removeIf(
+            link -> {
+              boolean wanted = !isWatcher && watchers.contains(link.peer());
+              if (!wanted) {
+                link.close();
+              }
+              return !wanted;
+            });
+    updateFresh(nowNs);
+    return isWatcher;
+  }
+
+  private void dropStale(long nowNs) {
+    links
+        .values()
+        .removeIf(
+            link -> {
+              boolean stale = link.isClosed() || link.ageMs() > FRESH_MS;
+              if (stale) {
+                link.close();
+                roles.unreachable(link.peer().name(), nowNs);
+              }
+              return stale;
+            });
+  }
+
+  private void updateFresh(long nowNs) {
+    boolean now =
+        links.values().stream().anyMatch(link -> link.isProven() && link.ageMs() <= FRESH_MS);
+    if (now && !fresh) {
+      freshSinceNs = nowNs;
+    }
+    fresh = now;
+  }
+
+  /** Returns whether a watcher proves that what it passes on is current. */
+  boolean isFresh() {
+    return fresh;
+  }
+
+  /** Returns whether the proof has been fresh for a while. */
+  boolean isSteady(long nowNs) {
+    return fresh && nowNs - freshSinceNs > STEADY_NS;
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
@@ -0,0 +1,290 @@
+package org.cowslipstair.edge.relay;
+
+import io.netty.channel.EventLoop;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.schedulers.Schedulers;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.cowslipstair.edge.FrontSettings;
+import org.cowslipstair.edge.GatewayParts;
+import org.cowslipstair.edge.sync.CollectionFollower;
+import org.cowslipstair.logic.traffic.TrafficKeeper;
+import org.cowslipstair.model.traffic.GatewayEntry;
+import org.cowslipstair.port.ObjectFeed;
+import org.cowslipstair.port.ObjectFeed.Collection;
+import org.cowslipstair.port.ObjectFeed.Freshness;
+import org.jboss.logging.Logger;
+
+/**
+ * Keeps this gateway's state in step with the store. Two gateways of each zone watch the store and
+ * pass changes on, with proof of their contact; the others take over by themselves when no proof is
+ * fresh. Lives on its event loop.
+ */
+public final class StateSync implements CollectionFollower.Listener {
+  private static final Logger LOG = Logger.getLogger(StateSync.class);
+  private static final List<Collection> WATCHED =
+      List.of(Collection.CONFIGURATION, Collection.BACKENDS, Collection.ZONES_OUT);
+
+  private static final long CHECK_MS = 250;
+
+  /** Longest silence of the store before a watcher asks it for proof, a call that costs a tenth. */
+  private static final long PROOF_MS = 500;
+
+  /** Time from the start after which a gateway watches itself if the fleet is not known. */
+  private static final long FLEET_GRACE_MS = 3_000;
+
+  /** Time from the first look at the fleet after which a gateway without proof watches itself. */
+  private static final long PROOF_GRACE_MS = 1_500;
+
+  /** Pauses before the gateways are looked up again; the last is repeated. */
+  private static final long[] LOOK_UP_MS = {1_500, 3_000, 6_000, 15_000};
+
+  private static final long ANNOUNCE_AGAIN_MS = 2_000;
+  private static final long NS_PER_MS = 1_000_000L;
+
+  private final FrontSettings settings;
+  private final GatewayParts parts;
+  private final Scheduler scheduler;
+  private final TrafficKeeper keeper;
+  private final Runnable onChange;
+  private final RelayServer server;
+  private final RelaySubscriptions subscriptions;
+  private final List<CollectionFollower> followers = new ArrayList<>();
+  private final Set<Collection> lost = EnumSet.noneOf(Collection.class);
+  private final long startedNs;
+  private GatewayEntry self;
+  private long fleetKnownNs;
+  private long contactNs;
+  private boolean everInContact;
+  private boolean asking;
+  private int lookUps;
+  private boolean lookedUp;
+
+  /**
+   * Creates a synchronizer.
+   *
+   * @param onChange called after the state has changed
+   */
+  public StateSync(
+      FrontSettings settings, GatewayParts parts, TrafficKeeper keeper, Runnable onChange) {
+    this.settings = settings;
+    this.parts = parts;
+    this.scheduler = Schedulers.from(parts.loop());
+    this.keeper = keeper;
+    this.onChange = onChange;
+    this.startedNs = parts.clock().nowNs();
+    this.fleetKnownNs = startedNs;
+    this.self = new GatewayEntry(settings.name(), settings.zone(), settings.relay().address());
+    this.server = new RelayServer(parts.clock(), this::snapshots);
+    this.subscriptions =
+        new RelaySubscriptions(settings, parts.loop(), parts.clock(), this::received);
+  }
+
+  /** Starts to accept other gateways, then to follow. */
+  public void start() throws InterruptedException {
+    EventLoop loop = parts.loop();
+    int port = server.open(loop, settings.relay().address());
+    self =
+        new GatewayEntry(
+            settings.name(),
+            settings.zone(),
+            new org.cowslipstair.model.config.HostPort(settings.relay().address().host(), port));
+    loop.execute(
+        () -> {
+          subscriptions.openSeeds();
+          announce();
+          lookUp();
+          check();
+        });
+  }
+
+  private void announce() {
+    parts
+        .feed()
+        .announce(self)
+        .observeOn(scheduler)
+        .subscribe(
+            () -> {},
+            cause -> {
+              LOG.warnf("fleet: announcing this gateway failed: %s", cause.getMessage());
+              later(this::announce, ANNOUNCE_AGAIN_MS);
+            });
+  }
+
+  private void lookUp() {
+    long nextMs = LOOK_UP_MS[Math.min(lookUps, LOOK_UP_MS.length - 1)];
+    lookUps++;
+    boolean needed = lookUps <= 2 || !followers.isEmpty() || keeper.gateways().isEmpty();
+    later(this::lookUp, nextMs + parts.random().nextLong(nextMs / 4));
+    if (!needed) {
+      return;
+    }
+    parts
+        .feed()
+        .list(Collection.GATEWAYS, java.util.Optional.empty(), Freshness.CACHED)
+        .observeOn(scheduler)
+        .subscribe(
+            page -> {
+              lookedUp = true;
+              listed(Collection.GATEWAYS, page.items(), page.revision(), false);
+              decide();
+            },
+            cause -> LOG.warnf("fleet: reading the gateways failed: %s", cause.getMessage()));
+  }
+
+  private void check() {
+    decide();
+    prove(parts.clock().nowNs());
+    later(this::check, CHECK_MS);
+  }
+
+  /** Watches the store where this gateway has to, and stops where others supply it. */
+  private void decide() {
+    long nowNs = parts.clock().nowNs();
+    List<GatewayEntry> known = keeper.gateways();
+    boolean fleetKnown = known.size() > 1 || !settings.relay().firstStart();
+    if (!fleetKnown) {
+      fleetKnownNs = nowNs;
+    }
+    boolean graceOver =
+        nowNs - fleetKnownNs > PROOF_GRACE_MS * NS_PER_MS
+            || nowNs - startedNs > FLEET_GRACE_MS * NS_PER_MS;
+    boolean isWatcher = subscriptions.update(known, self, nowNs);
+    boolean isSupplied = subscriptions.isFresh();
+    boolean alone = known.isEmpty() && !settings.relay().firstStart() && lookedUp;
+    boolean wanted = alone || isWatcher && fleetKnown || !isSupplied && graceOver;
+    if (wanted && followers.isEmpty()) {
+      follow();
+    } else if (!wanted && !isWatcher && subscriptions.isSteady(nowNs) && !followers.isEmpty()) {
+      LOG.info("relay: supplied by other gateways");
+      followers.forEach(CollectionFollower::stop);
+      followers.clear();
+    }
+  }
+
+  private void follow() {
+    LOG.info("relay: watching the store");
+    lost.clear();
+    for (Collection collection : WATCHED) {
+      CollectionFollower follower =
+          new CollectionFollower(
+              collection,
+              parts.feed(),
+              scheduler,
+              parts.clock(),
+              parts.random(),
+              this,
+              settings.bounds().gatherMs());
+      followers.add(follower);
+      boolean isKnown = keeper.revision(collection) > 0;
+      follower.start(isKnown ? Freshness.LATEST : Freshness.CACHED);
+    }
+  }
+
+  /** Tells subscribers how old the knowledge is; asks the store when it has been silent. */
+  private void prove(long nowNs) {
+    if (followers.isEmpty() || !lost.isEmpty() || !everInContact || !server.hasSubscribers()) {
+      return;
+    }
+    long ageMs = (nowNs - contactNs) / NS_PER_MS;
+    server.publish(new RelayMessage.Proof(ageMs));
+    if (ageMs < PROOF_MS - CHECK_MS || asking) {
+      return;
+    }
+    asking = true;
+    long askedNs = nowNs;
+    parts
+        .feed()
+        .list(Collection.ZONES_OUT, java.util.Optional.empty(), Freshness.CACHED)
+        .observeOn(scheduler)
+        .subscribe(
+            _ -> {
+              asking = false;
+              contactAt(askedNs);
+            },
+            cause -> {
+              asking = false;
+              LOG.warnf("relay: the store gave no proof of contact: %s", cause.getMessage());
+            });
+  }
+
+  private void contactAt(long ns) {
+    contactNs = everInContact ? Math.max(contactNs, ns) : ns;
+    everInContact = true;
+  }
+
+  private List<RelayMessage> snapshots() {
+    List<RelayMessage> messages = new ArrayList<>();
+    for (Collection collection : Collection.values()) {
+      if (keeper.revision(collection) > 0) {
+        messages.add(
+            new RelayMessage.Snapshot(
+                collection, keeper.revision(collection), keeper.items(collection)));
+      }
+    }
+    return messages;
+  }
+
+  private void received(RelayMessage message) {
+    long nowNs = parts.clock().nowNs();
+    switch (message) {
+      case RelayMessage.Snapshot(var collection, long revision, var items) -> {
+        keeper.replace(collection, items, revision, nowNs, false);
+        onChange.run();
+      }
+      case RelayMessage.Changed(var collection, var changes, boolean afterOutage) ->
+          apply(collection, changes, afterOutage);
+      case RelayMessage.Proof _ -> {}
+    }
+  }
+
+  @Override
+  public void listed(
+      Collection collection, List<ObjectFeed.Item> items, long revision, boolean afterOutage) {
+    contactAt(parts.clock().nowNs());
+    keeper.replace(collection, items, revision, parts.clock().nowNs(), afterOutage);
+    refreshLater(afterOutage);
+    onChange.run();
+    server.publish(
+        new RelayMessage.Snapshot(
+            collection, keeper.revision(collection), keeper.items(collection)));
+  }
+
+  @Override
+  public void changed(Collection collection, ObjectFeed.Changes changes, boolean afterOutage) {
+    contactAt(parts.clock().nowNs());
+    apply(collection, changes, afterOutage);
+    server.publish(new RelayMessage.Changed(collection, changes, afterOutage));
+  }
+
+  private void apply(Collection collection, ObjectFeed.Changes changes, boolean afterOutage) {
+    keeper.apply(collection, changes, parts.clock().nowNs(), afterOutage);
+    refreshLater(afterOutage);
+    onChange.run();
+  }
+
+  /** Entries that lapsed during an outage are dropped when their grace is over. */
+  private void refreshLater(boolean afterOutage) {
+    if (afterOutage) {
+      scheduler.scheduleDirect(onChange, TrafficKeeper.LAPSE_GRACE_NS, TimeUnit.NANOSECONDS);
+    }
+  }
+
+  @Override
+  public void contact(Collection collection, boolean inContact, String cause) {
+    if (inContact) {
+      lost.remove(collection);
+      LOG.infof("store: %s is followed again", collection);
+    } else {
+      lost.add(collection);
+      LOG.warnf("store: %s is not followed: %s", collection, cause);
+    }
+  }
+
+  private void later(Runnable action, long delayMs) {
+    parts.loop().schedule(action, delayMs, TimeUnit.MILLISECONDS);
+  }
+}
--- a/edge/src/main/java/org/cowslipstair/edge/sync/CollectionFollower.java
+++ b/edge/src/main/java/org/cowslipstair/edge/sync/CollectionFollower.java
@@ -24,7 +24,7 @@
   private static final Logger LOG = Logger.getLogger(CollectionFollower.class);
 
   /** Longest wait of one watch, in milliseconds; the store's own limit is 30 s. */
-  private static final long WATCH_MS = 25_000;
+  private static final long WATCH_MS = 29_000;
 
   private static final long FIRST_BACKOFF_MS = 60;
   private static final long LONGEST_BACKOFF_MS = 1_000;
@@ -86,8 +86,13 @@
     this.listener = listener;
   }
 
-  /** Starts to follow. */
-  public void start() {
+  /**
+   * Starts to follow.
+   *
+   * @param first how old the first list may be
+   */
+  public void start(Freshness first) {
+    freshness = first;
     list(Optional.empty());
   }
 
--- a/edge/src/test/java/org/cowslipstair/edge/EdgeRig.java
+++ b/edge/src/test/java/org/cowslipstair/edge/EdgeRig.java
@@ -19,6 +19,7 @@
 import org.cowslipstair.model.config.ZoneName;
 import org.cowslipstair.model.traffic.BackendInstance;
 import org.cowslipstair.model.traffic.CallerBounds;
+import org.cowslipstair.model.traffic.GatewayEntry;
 import org.cowslipstair.model.traffic.RequestKind;
 import org.cowslipstair.model.traffic.Route;
 import org.cowslipstair.model.traffic.ServiceTraits;
@@ -43,6 +44,8 @@
   static final long LONG_TIMEOUT_MS = 20_000;
   private static final ServiceName SERVICE = new ServiceName("s");
   private static final ZoneName ZONE = new ZoneName("z");
+  private static final GatewayEntry SELF =
+      new GatewayEntry("g", ZONE, new HostPort("127.0.0.1", 1));
   private static final long HEAD_TIMEOUT_MS = 300;
 
   final List<ScriptedBackend> backends = new ArrayList<>();
@@ -61,6 +64,7 @@
             ZONE,
             new HostPort("127.0.0.1", 0),
             new HostPort("127.0.0.1", 0),
+            new FrontSettings.Relay(new HostPort("127.0.0.1", 0), List.of(), false),
             0.2,
             100,
             1.5,
@@ -136,7 +140,7 @@
                 backends.stream()
                     .map(backend -> new Item(backend.id, 1, instance(backend)))
                     .toList();
-            case GATEWAYS -> List.of(new Item("g", 1, new Content.Gateway("g")));
+            case GATEWAYS -> List.of(new Item("g", 1, new Content.Gateway(SELF)));
             case ZONES_OUT -> List.of();
           };
       return Single.just(new Page(items, false, 1));
@@ -154,7 +158,7 @@
     }
 
     @Override
-    public Completable announce(String name) {
+    public Completable announce(GatewayEntry gateway) {
       return Completable.complete();
     }
   }
--- /dev/null
+++ b/edge/src/test/java/org/cowslipstair/edge/relay/RelayCodecTest.java
@@ -0,0 +1,131 @@
+package org.cowslipstair.edge.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.cowslipstair.model.config.BackendName;
+import org.cowslipstair.model.config.HostPort;
+import org.cowslipstair.model.config.ServiceName;
+import org.cowslipstair.model.config.ZoneName;
+import org.cowslipstair.model.traffic.BackendInstance;
+import org.cowslipstair.model.traffic.CallerBounds;
+import org.cowslipstair.model.traffic.GatewayEntry;
+import org.cowslipstair.model.traffic.RequestKind;
+import org.cowslipstair.model.traffic.Route;
+import org.cowslipstair.model.traffic.ServiceTraits;
+import org.cowslipstair.model.traffic.TrafficPlan;
+import org.cowslipstair.model.traffic.WeightedService;
+import org.cowslipstair.port.ObjectFeed.Changes;
+import org.cowslipstair.port.ObjectFeed.Collection;
+import org.cowslipstair.port.ObjectFeed.Content;
+import org.cowslipstair.port.ObjectFeed.Item;
+import org.junit.jupiter.api.Test;
+
+final class RelayCodecTest {
+  private static final long SENDER_NS = 5_000_000_000L;
+  private static final long RECEIVER_NS = 900_000_000_000L;
+  private static final ServiceName SERVICE = new ServiceName("s");
+  private static final ZoneName ZONE = new ZoneName("z");
+  private final RelayCodec sender = new RelayCodec(() -> SENDER_NS);
+  private final RelayCodec receiver = new RelayCodec(() -> RECEIVER_NS);
+
+  private RelayMessage relay(RelayMessage message) throws RelayException {
+    return receiver.decode(sender.encode(message));
+  }
+
+  private static Item backend(long coldUntilNs) {
+    BackendInstance instance =
+        new BackendInstance(
+            new BackendName("b"),
+            SERVICE,
+            new HostPort("10.0.0.1", 80),
+            ZONE,
+            3,
+            true,
+            coldUntilNs,
+            77);
+    return new Item("b", 4, new Content.Backend(instance));
+  }
+
+  @Test
+  void coldTimeGoesAsWhatIsLeftOfIt() throws RelayException {
+    RelayMessage sent =
+        new RelayMessage.Snapshot(
+            Collection.BACKENDS, 9, List.of(backend(SENDER_NS + 3_000_000_000L)));
+    RelayMessage expected =
+        new RelayMessage.Snapshot(
+            Collection.BACKENDS, 9, List.of(backend(RECEIVER_NS + 3_000_000_000L)));
+    assertThat(relay(sent), is(expected));
+  }
+
+  @Test
+  void changesAndGatewaysArriveAsSent() throws RelayException {
+    GatewayEntry gateway = new GatewayEntry("g", ZONE, new HostPort("10.0.0.2", 81));
+    Changes changes =
+        new Changes(
+            List.of(
+                new Item("g", 5, new Content.Gateway(gateway)),
+                new Item("z", 6, new Content.ZoneOut(ZONE))),
+            Set.of("gone"),
+            7);
+    RelayMessage sent = new RelayMessage.Changed(Collection.GATEWAYS, changes, true);
+    assertThat(relay(sent), is(sent));
+    assertThat(relay(new RelayMessage.Proof(12)), is(new RelayMessage.Proof(12)));
+  }
+
+  @Test
+  void configurationArrivesWhole() throws RelayException {
+    Route route =
+        new Route(
+            "r",
+            "a.example",
+            "/a/",
+            RequestKind.UPLOAD,
+            1_200,
+            300,
+            2,
+            3,
+            List.of(
+                new WeightedService(SERVICE, 90), new WeightedService(new ServiceName("t"), 10)));
+    ServiceTraits traits = new ServiceTraits(SERVICE, "/healthz", 260, 5.4);
+    CallerBounds bounds = new CallerBounds(1, 2, 3, 4);
+    TrafficPlan plan = new TrafficPlan(12, bounds, List.of(traits), List.of(route));
+    RelayMessage sent =
+        new RelayMessage.Snapshot(
+            Collection.CONFIGURATION, 9, List.of(new Item("main", 8, new Content.Plan(plan))));
+    RelayMessage.Snapshot received = (RelayMessage.Snapshot) relay(sent);
+    TrafficPlan decoded = ((Content.Plan) received.items().getFirst().content()).plan();
+    assertThat(decoded.version(), is(12L));
+    assertThat(decoded.bounds(), is(bounds));
+    assertThat(decoded.service(SERVICE).orElseThrow(), is(traits));
+    assertThat(decoded.routes(), is(List.of(route)));
+  }
+
+  @Property(seed = "7231", tries = 500)
+  void randomBytesAreRefusedByType(@ForAll long seed) {
+    byte[] bytes = new byte[new Random(seed).nextInt(200)];
+    new Random(seed).nextBytes(bytes);
+    try {
+      assertThat(receiver.decode(bytes), instanceOf(RelayMessage.class));
+    } catch (RelayException e) {
+      assertThat(e.getMessage().isEmpty(), is(false));
+    }
+  }
+
+  @Test
+  void cutOffMessageIsRefused() {
+    byte[] whole =
+        sender.encode(new RelayMessage.Snapshot(Collection.BACKENDS, 9, List.of(backend(0))));
+    for (int length = 0; length < whole.length; length++) {
+      byte[] part = java.util.Arrays.copyOf(whole, length);
+      assertThrows(RelayException.class, () -> receiver.decode(part));
+    }
+  }
+}
--- a/edge/src/test/java/org/cowslipstair/edge/sync/CollectionFollowerTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/sync/CollectionFollowerTest.java
@@ -14,6 +14,7 @@
 import org.cowslipstair.port.ObjectFeed.Changes;
 import org.cowslipstair.port.ObjectFeed.Collection;
 import org.cowslipstair.port.ObjectFeed.Content;
+import org.cowslipstair.port.ObjectFeed.Freshness;
 import org.cowslipstair.port.ObjectFeed.Item;
 import org.cowslipstair.port.ObjectFeed.Page;
 import org.cowslipstair.port.StoreException;
@@ -35,7 +36,7 @@
           GATHER_MS);
 
   private static Item item(String name) {
-    return new Item(name, 1, new Content.Gateway(name));
+    return new Item(name, 1, new Content.Unreadable(name));
   }
 
   private void listed(long revision, boolean hasMore, Item... items) {
@@ -49,7 +50,7 @@
 
   @Test
   void watchesFromTheRevisionOfTheFirstPage() {
-    follower.start();
+    follower.start(Freshness.CACHED);
     listed(7, true, item("a"));
     listed(9, false, item("b"));
     assertThat(feed.calls, contains("list CACHED", "list CACHED after a", "watch 7"));
@@ -58,7 +59,7 @@
 
   @Test
   void gathersChangesBeforeItWatchesAgain() {
-    follower.start();
+    follower.start(Freshness.CACHED);
     listed(7, false);
     feed.watches.remove().onSuccess(new Changes(List.of(item("a")), Set.of(), 8));
     advance(GATHER_MS - 1);
@@ -69,7 +70,7 @@
 
   @Test
   void listsAnewWhenAWatchIsCutOff() {
-    follower.start();
+    follower.start(Freshness.CACHED);
     listed(7, false);
     feed.watches.remove().onError(new StoreException.AnswerLost("watch", "reset"));
     advance(200);
@@ -78,7 +79,7 @@
 
   @Test
   void listsAnewWhenTheHistoryIsGone() {
-    follower.start();
+    follower.start(Freshness.CACHED);
     listed(7, false);
     feed.watches.remove().onError(new StoreException.RevisionGone(7));
     scheduler.triggerActions();
@@ -87,7 +88,7 @@
 
   @Test
   void reportsALongOutageWithTheNextList() {
-    follower.start();
+    follower.start(Freshness.CACHED);
     listed(7, false);
     feed.watches.remove().onError(new StoreException.Unavailable("watch", "status 503"));
     for (int i = 0; i < 5; i++) {
--- a/edge/src/test/java/org/cowslipstair/edge/sync/FakeFeed.java
+++ b/edge/src/test/java/org/cowslipstair/edge/sync/FakeFeed.java
@@ -8,6 +8,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import org.cowslipstair.model.traffic.GatewayEntry;
 import org.cowslipstair.port.ObjectFeed;
 
 /** A feed whose answers the test gives. */
@@ -33,7 +34,7 @@
   }
 
   @Override
-  public Completable announce(String gateway) {
+  public Completable announce(GatewayEntry gateway) {
     return Completable.complete();
   }
 }
--- a/lib/src/main/java/org/cowslipstair/logic/traffic/TrafficKeeper.java
+++ b/lib/src/main/java/org/cowslipstair/logic/traffic/TrafficKeeper.java
@@ -7,11 +7,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeSet;
 import org.cowslipstair.logic.invariant.Invariant;
 import org.cowslipstair.logic.invariant.InvariantMonitor;
 import org.cowslipstair.model.config.ZoneName;
 import org.cowslipstair.model.traffic.BackendInstance;
+import org.cowslipstair.model.traffic.GatewayEntry;
 import org.cowslipstair.model.traffic.TrafficPlan;
 import org.cowslipstair.model.traffic.TrafficState;
 import org.cowslipstair.port.ObjectFeed.Changes;
@@ -67,10 +67,12 @@
     }
   }
 
-  /** Takes changes that follow on the known revision. */
+  /** Takes changes up to a revision; does nothing if what is known is as new. */
   public void apply(Collection collection, Changes changes, long nowNs, boolean afterOutage) {
-    long known = revisions.getOrDefault(collection, 0L);
-    revisions.put(collection, Math.max(known, changes.revision()));
+    if (changes.revision() <= revisions.getOrDefault(collection, 0L)) {
+      return;
+    }
+    revisions.put(collection, changes.revision());
     changes.items().forEach(item -> put(collection, item));
     changes.deleted().forEach(name -> remove(collection, name, nowNs, afterOutage));
   }
@@ -129,15 +131,20 @@
         && revision(Collection.ZONES_OUT) > 0;
   }
 
-  /** Returns the names of the gateways that announced themselves. */
-  public List<String> gateways() {
-    Set<String> names = new TreeSet<>();
+  /** Returns the gateways that announced themselves. */
+  public List<GatewayEntry> gateways() {
+    List<GatewayEntry> gateways = new ArrayList<>();
     for (Item item : itemsOf(Collection.GATEWAYS).values()) {
-      if (item.content() instanceof Content.Gateway(String name)) {
-        names.add(name);
+      if (item.content() instanceof Content.Gateway(GatewayEntry gateway)) {
+        gateways.add(gateway);
       }
     }
-    return List.copyOf(names);
+    return List.copyOf(gateways);
+  }
+
+  /** Returns the objects of a collection. */
+  public List<Item> items(Collection collection) {
+    return List.copyOf(itemsOf(collection).values());
   }
 
   /** Returns and clears the objects that could not be read. */
--- a/lib/src/main/java/org/cowslipstair/port/ObjectFeed.java
+++ b/lib/src/main/java/org/cowslipstair/port/ObjectFeed.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.cowslipstair.model.config.ZoneName;
 import org.cowslipstair.model.traffic.BackendInstance;
+import org.cowslipstair.model.traffic.GatewayEntry;
 import org.cowslipstair.model.traffic.TrafficPlan;
 
 /**
@@ -30,7 +31,7 @@
   Single<Changes> watch(Collection collection, long revision, long waitMs);
 
   /** Announces this gateway to the others; succeeds also if that was done before. */
-  Completable announce(String gateway);
+  Completable announce(GatewayEntry gateway);
 
   /** Collections. */
   enum Collection {
@@ -64,7 +65,7 @@
     record ZoneOut(ZoneName zone) implements Content {}
 
     /** A gateway. */
-    record Gateway(String name) implements Content {}
+    record Gateway(GatewayEntry gateway) implements Content {}
 
     /**
      * An object that cannot be read.
--- /dev/null
+++ b/lib/src/test/java/org/cowslipstair/logic/budget/FleetBudgetsTest.java
@@ -0,0 +1,140 @@
+package org.cowslipstair.logic.budget;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.cowslipstair.logic.invariant.InvariantMonitor;
+import org.cowslipstair.model.config.BackendName;
+import org.cowslipstair.model.config.ServiceName;
+import org.cowslipstair.model.traffic.WeightedService;
+import org.junit.jupiter.api.Test;
+
+/** The parts of all gateways together stay within what the fleet may spend. */
+final class FleetBudgetsTest {
+  private static final long NS_PER_MS = 1_000_000L;
+  private static final long SECOND_NS = 1_000_000_000L;
+
+  private static List<String> names(int from, int to) {
+    return IntStream.range(from, to).mapToObj(i -> "g-" + i).toList();
+  }
+
+  @Property(seed = "5501", tries = 100)
+  void retriesStayWithinTheBudgetOfEveryWindow(
+      @ForAll @IntRange(min = 1, max = 40) int gateways, @ForAll long seed) {
+    double slack = 64;
+    double ratio = 0.2;
+    int steps = 600;
+    int window = 100;
+    Random random = new Random(seed);
+    List<RetryBudget> budgets = new ArrayList<>();
+    for (int i = 0; i < gateways; i++) {
+      RetryBudget budget = new RetryBudget("s", ratio, InvariantMonitor.failing());
+      budget.share(slack, gateways);
+      budgets.add(budget);
+    }
+    int[] requests = new int[steps + 1];
+    int[] retries = new int[steps + 1];
+    for (int step = 0; step < steps; step++) {
+      boolean busy = step / 50 % 3 == 0;
+      for (RetryBudget budget : budgets) {
+        boolean requested = busy && random.nextInt(3) == 0;
+        requests[step + 1] += requested ? 1 : 0;
+        if (requested) {
+          budget.requested();
+        }
+        retries[step + 1] += random.nextInt(4) == 0 && budget.tryTake(0) ? 1 : 0;
+      }
+      requests[step + 1] += requests[step];
+      retries[step + 1] += retries[step];
+    }
+    for (int end = window; end <= steps; end++) {
+      int sent = retries[end] - retries[end - window];
+      int asked = requests[end] - requests[end - window];
+      assertThat((double) sent, lessThanOrEqualTo(ratio * asked + slack));
+    }
+  }
+
+  @Property(seed = "5502", tries = 100)
+  void coldRateHoldsWithTwoViewsOfTheFleet(
+      @ForAll @IntRange(min = 2, max = 40) int gateways, @ForAll long seed) {
+    double bears = 5.4 * 1.5 + 5;
+    BackendName backend = new BackendName("b");
+    Random random = new Random(seed);
+    int half = gateways / 2;
+    List<Long> sentNs = new ArrayList<>();
+    Map<String, ColdAllowance> allowances = new HashMap<>();
+    names(0, gateways)
+        .forEach(name -> allowances.put(name, new ColdAllowance(name, InvariantMonitor.failing())));
+    for (long nowNs = 0; nowNs < 5 * SECOND_NS; nowNs += NS_PER_MS * (1 + random.nextInt(20))) {
+      int asking = random.nextInt(gateways);
+      List<String> view = asking < half ? names(0, half) : names(half, gateways);
+      ColdAllowance allowance = allowances.get("g-" + asking);
+      if (allowance != null && allowance.maySend(backend, bears, view, nowNs)) {
+        allowance.sent(backend, nowNs);
+        sentNs.add(nowNs);
+      }
+    }
+    for (long startNs : sentNs) {
+      long inSecond =
+          sentNs.stream().filter(ns -> ns >= startNs && ns < startNs + SECOND_NS).count();
+      assertThat((double) inSecond, lessThanOrEqualTo(bears));
+    }
+    assertThat(sentNs.size(), greaterThan(0));
+  }
+
+  @Test
+  void coldBackendGetsNothingWhileTheFleetIsUnknown() {
+    ColdAllowance allowance = new ColdAllowance("g", InvariantMonitor.failing());
+    assertThat(allowance.maySend(new BackendName("b"), 100, List.of(), 0), is(false));
+  }
+
+  @Test
+  void probesStayWithinTheirRate() {
+    ProbeAllowance allowance = new ProbeAllowance(60, InvariantMonitor.failing(), 0);
+    allowance.share(36, 19);
+    long taken = 0;
+    for (long nowNs = 0; nowNs < 20 * SECOND_NS; nowNs += NS_PER_MS) {
+      taken += allowance.tryTake(nowNs) ? 1 : 0;
+    }
+    assertThat((double) taken * 19, lessThanOrEqualTo(60.0 * 36 * 20));
+    assertThat(taken, greaterThan(0L));
+  }
+
+  @Property(seed = "5503", tries = 100)
+  void splitKeepsItsWeightsOverManyGateways(@ForAll long seed) {
+    ServiceName small = new ServiceName("small");
+    List<WeightedService> parts =
+        List.of(new WeightedService(new ServiceName("big"), 90), new WeightedService(small, 10));
+    int chosen = 0;
+    for (int gateway = 0; gateway < 20; gateway++) {
+      SplitSequence sequence = new SplitSequence(new Random(seed + gateway));
+      for (int i = 0; i < 15; i++) {
+        chosen += sequence.next(parts).equals(small) ? 1 : 0;
+      }
+    }
+    assertThat(chosen / 300.0, closeTo(0.1, 0.1));
+  }
+
+  @Test
+  void partOfWeightZeroGetsNothing() {
+    ServiceName none = new ServiceName("none");
+    List<WeightedService> parts =
+        List.of(new WeightedService(none, 0), new WeightedService(new ServiceName("all"), 5));
+    SplitSequence sequence = new SplitSequence(new Random(3));
+    for (int i = 0; i < 100; i++) {
+      assertThat(sequence.next(parts).equals(none), is(false));
+    }
+  }
+}
--- /dev/null
+++ b/lib/src/test/java/org/cowslipstair/logic/traffic/TrafficKeeperTest.java
@@ -0,0 +1,130 @@
+package org.cowslipstair.logic.traffic;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import java.util.Set;
+import org.cowslipstair.logic.invariant.InvariantMonitor;
+import org.cowslipstair.model.config.BackendName;
+import org.cowslipstair.model.config.HostPort;
+import org.cowslipstair.model.config.ServiceName;
+import org.cowslipstair.model.config.ZoneName;
+import org.cowslipstair.model.traffic.BackendInstance;
+import org.cowslipstair.model.traffic.CallerBounds;
+import org.cowslipstair.model.traffic.TrafficPlan;
+import org.cowslipstair.port.ObjectFeed.Changes;
+import org.cowslipstair.port.ObjectFeed.Collection;
+import org.cowslipstair.port.ObjectFeed.Content;
+import org.cowslipstair.port.ObjectFeed.Item;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+final class TrafficKeeperTest {
+  private static final ServiceName SERVICE = new ServiceName("s");
+  private static final ZoneName ZONE = new ZoneName("z");
+  private final TrafficKeeper keeper = new TrafficKeeper(InvariantMonitor.failing());
+
+  private static Item plan(long revision, long version) {
+    TrafficPlan plan = new TrafficPlan(version, CallerBounds.defaults(), List.of(), List.of());
+    return new Item("main", revision, new Content.Plan(plan));
+  }
+
+  private static Item backend(String name, long revision, boolean leaving) {
+    return new Item(
+        name,
+        revision,
+        new Content.Backend(
+            new BackendInstance(
+                new BackendName(name),
+                SERVICE,
+                new HostPort("10.0.0.1", 80),
+                ZONE,
+                3,
+                leaving,
+                0,
+                1)));
+  }
+
+  @BeforeEach
+  void start() {
+    keeper.replace(Collection.CONFIGURATION, List.of(plan(1, 5)), 1, 0, false);
+  }
+
+  private int eligible(long nowNs) {
+    return keeper.state(nowNs).eligible(SERVICE).size();
+  }
+
+  private long version() {
+    return keeper.state(0).plan().orElseThrow().version();
+  }
+
+  @Test
+  void olderConfigurationNeverReplacesANewerOne() {
+    keeper.replace(Collection.CONFIGURATION, List.of(plan(9, 8)), 9, 0, false);
+    keeper.replace(Collection.CONFIGURATION, List.of(plan(3, 6)), 3, 0, false);
+    assertThat(version(), is(8L));
+    keeper.apply(
+        Collection.CONFIGURATION, new Changes(List.of(plan(10, 7)), Set.of(), 10), 0, false);
+    assertThat(version(), is(8L));
+  }
+
+  @Test
+  void lateChangesOfASlowerSourceAreLeftOut() {
+    keeper.replace(Collection.BACKENDS, List.of(backend("b", 8, false)), 10, 0, false);
+    keeper.apply(Collection.BACKENDS, new Changes(List.of(), Set.of("b"), 7), 0, false);
+    assertThat(eligible(0), is(1));
+  }
+
+  @Test
+  void leavingBackendGetsNothingNew() {
+    keeper.replace(Collection.BACKENDS, List.of(backend("b", 2, false)), 2, 0, false);
+    keeper.apply(
+        Collection.BACKENDS, new Changes(List.of(backend("b", 3, true)), Set.of(), 3), 0, false);
+    assertThat(eligible(0), is(0));
+  }
+
+  @Test
+  void zoneOutGetsNothingNewUntilItIsTakenBack() {
+    keeper.replace(Collection.BACKENDS, List.of(backend("b", 2, false)), 2, 0, false);
+    Item out = new Item("z", 3, new Content.ZoneOut(ZONE));
+    keeper.apply(Collection.ZONES_OUT, new Changes(List.of(out), Set.of(), 3), 0, false);
+    assertThat(eligible(0), is(0));
+    keeper.apply(Collection.ZONES_OUT, new Changes(List.of(), Set.of("z"), 4), 0, false);
+    assertThat(eligible(0), is(1));
+  }
+
+  @Test
+  void entryThatLapsedDuringAnOutageHasTwoSecondsToComeBack() {
+    keeper.replace(Collection.BACKENDS, List.of(backend("b", 2, false)), 2, 0, false);
+    keeper.replace(Collection.BACKENDS, List.of(), 5, 0, true);
+    assertThat(eligible(TrafficKeeper.LAPSE_GRACE_NS - 1), is(1));
+    assertThat(eligible(TrafficKeeper.LAPSE_GRACE_NS), is(0));
+  }
+
+  @Test
+  void entryThatIsDeletedIsGoneAtOnce() {
+    keeper.replace(Collection.BACKENDS, List.of(backend("b", 2, false)), 2, 0, false);
+    keeper.apply(Collection.BACKENDS, new Changes(List.of(), Set.of("b"), 3), 0, false);
+    assertThat(eligible(0), is(0));
+  }
+
+  @Test
+  void unreadableEntryNamesNoBackendAndIsReported() {
+    keeper.replace(Collection.BACKENDS, List.of(backend("b", 2, false)), 2, 0, false);
+    Item broken = new Item("b", 3, new Content.Unreadable("field \"slots\" is x"));
+    keeper.apply(Collection.BACKENDS, new Changes(List.of(broken), Set.of(), 3), 0, false);
+    assertThat(eligible(0), is(0));
+    assertThat(keeper.takeFaults(), hasSize(1));
+    assertThat(keeper.takeFaults(), empty());
+  }
+
+  @Test
+  void unreadableConfigurationLeavesTheLastOneInForce() {
+    Item broken = new Item("main", 3, new Content.Unreadable("field \"kind\" is x"));
+    keeper.apply(Collection.CONFIGURATION, new Changes(List.of(broken), Set.of(), 3), 0, false);
+    assertThat(version(), is(5L));
+  }
+}
