--- a/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
+++ b/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
@@ -10,6 +10,7 @@
 import org.cowslipstair.edge.caller.CallerServer;
 import org.cowslipstair.edge.exchange.ExchangeContext;
 import org.cowslipstair.edge.http.ServerConnector;
+import org.cowslipstair.edge.log.GatewayLog;
 import org.cowslipstair.edge.relay.StateSync;
 import org.cowslipstair.logic.budget.ColdAllowance;
 import org.cowslipstair.logic.budget.ProbeAllowance;
--- a/edge/src/main/java/org/cowslipstair/edge/caller/CallerContext.java
+++ b/edge/src/main/java/org/cowslipstair/edge/caller/CallerContext.java
@@ -107,7 +107,8 @@
             "bad_request",
             status.code(),
             0,
-            0));
+            0,
+            ""));
   }
 
   void refuse(Responder responder, Refusal refusal, Optional<String> requestId, long callerLeftNs) {
@@ -120,7 +121,8 @@
             refusal.reasonName(),
             refusal.status().code(),
             0,
-            0));
+            0,
+            ""));
   }
 
   /** Creates the exchange of a request, or answers the request at once. */
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
@@ -57,6 +57,7 @@
   private @Nullable Attempt streamed;
   private MayHaveRunReason lastFailure = MayHaveRunReason.CONNECTION_LOST;
   private Attempt.Result.@Nullable Answered failureAnswer;
+  private String detail = "";
   private int sends;
   private int mayHaveRun;
   private boolean done;
@@ -129,8 +130,9 @@
               }
 
               @Override
-              public void notPlaced(NotRunReason reason) {
+              public void notPlaced(NotRunReason reason, String cause) {
                 placement = null;
+                detail = cause;
                 Exchange.this.notPlaced(reason, isHedge);
               }
             });
@@ -364,7 +366,8 @@
                 outcome,
                 status,
                 sends,
-                context.nowNs() - message.arrivedNs()));
+                context.nowNs() - message.arrivedNs(),
+                detail));
   }
 
   @Override
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeObserver.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeObserver.java
@@ -22,6 +22,7 @@
    * @param route route, empty if none matched
    * @param outcome status of the answer and why, or that the caller left
    * @param sends backend servers that the request was sent to
+   * @param detail what decided, where the outcome does not tell
    */
   record Summary(
       Optional<String> requestId,
@@ -30,7 +31,8 @@
       String outcome,
       int status,
       int sends,
-      long tookNs) {}
+      long tookNs,
+      String detail) {}
 
   /**
    * A send.
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Placement.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Placement.java
@@ -83,8 +83,12 @@
     /** A backend server was found; the listener owns the connection. */
     void placed(Chosen chosen);
 
-    /** There is none. */
-    void notPlaced(NotRunReason reason);
+    /**
+     * There is none.
+     *
+     * @param detail what was seen, for logs
+     */
+    void notPlaced(NotRunReason reason, String detail);
   }
 
   private record Option(
@@ -126,7 +130,8 @@
     if (candidates.isEmpty()) {
       done = true;
       boolean none = context.table().eligible(request.service()).isEmpty();
-      listener.notPlaced(none ? NotRunReason.NO_BACKEND : NotRunReason.BACKEND_UNREACHABLE);
+      listener.notPlaced(
+          none ? NotRunReason.NO_BACKEND : NotRunReason.BACKEND_UNREACHABLE, detail());
       return;
     }
     nextRound();
@@ -303,7 +308,7 @@
   private void refuse(NotRunReason reason) {
     finish();
     releaseExcept(null);
-    listener.notPlaced(reason);
+    listener.notPlaced(reason, detail());
   }
 
   private void finish() {
@@ -325,4 +330,19 @@
       }
     }
   }
+
+  /** Describes what was seen of the candidates. */
+  private String detail() {
+    StringBuilder text = new StringBuilder();
+    text.append("known=").append(context.table().eligible(request.service()).size());
+    text.append(" candidates=").append(candidates.size());
+    text.append(" asked=").append(asked);
+    text.append(" answered=").append(options.size());
+    for (Option option : options) {
+      String load =
+          option.load.map(l -> l.running() + "+" + l.waiting() + "/" + l.slots()).orElse("?");
+      text.append(' ').append(option.entry.record().instance().name()).append('=').append(load);
+    }
+    return text.toString();
+  }
 }
--- a/edge/src/test/java/org/cowslipstair/edge/EdgeRig.java
+++ b/edge/src/test/java/org/cowslipstair/edge/EdgeRig.java
@@ -11,6 +11,8 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import org.cowslipstair.edge.log.GatewayLog;
+import org.cowslipstair.edge.log.GatewayMetrics;
 import org.cowslipstair.logic.invariant.InvariantMonitor;
 import org.cowslipstair.logic.invariant.Violation;
 import org.cowslipstair.model.config.BackendName;
@@ -81,7 +83,7 @@
                 new StaticFeed(),
                 HEADERS,
                 new InvariantMonitor(violations::add)),
-            new GatewayLog());
+            new GatewayLog("g", new GatewayMetrics(), MonotonicClock.system()));
     while (!gateway.isReady()) {
       TimeUnit.MILLISECONDS.sleep(1);
     }
