--- a/cli/src/main/java/org/cowslipstair/cli/Cli.java
+++ b/cli/src/main/java/org/cowslipstair/cli/Cli.java
@@ -39,6 +39,7 @@
     commands.put("status", new StatusCommand());
     commands.put("dump", new DumpCommand());
     commands.put("explain", new ExplainCommand());
+    commands.put("explain-log", new ExplainLogCommand());
     commands.put("store", new StoreCommand());
     return commands;
   }
@@ -86,9 +87,9 @@
 
   private void printSummaries(Map<String, Command> commands) {
     out.printf("Usage: %s COMMAND [ARGUMENT ...] [OPTION ...]%n%n", PROGRAM);
-    commands.forEach((name, command) -> out.printf("  %-10s%s%n", name, command.summary()));
-    out.printf("  %-10s%s%n", "demo", "run a whole fleet in one process and check its promises");
-    out.printf("  %-10s%s%n%n", "load", "run experiments and compare policies");
+    commands.forEach((name, command) -> out.printf("  %-13s%s%n", name, command.summary()));
+    out.printf("  %-13s%s%n", "demo", "run a whole fleet in one process and check its promises");
+    out.printf("  %-13s%s%n%n", "load", "run experiments and compare policies");
     out.printf("Options of a command: %s COMMAND --help%n", PROGRAM);
     out.print(EXIT_CODES);
   }
