--- a/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
+++ b/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
@@ -42,7 +42,7 @@
   private static final long STOP_POLL_MS = 50;
   private static final long NS_PER_MS = 1_000_000L;
 
-  private final FrontSettings settings;
+  private volatile FrontSettings settings;
   private final GatewayParts parts;
   private final TrafficKeeper keeper;
   private final BackendTable table;
@@ -71,7 +71,7 @@
                 parts.loop(),
                 parts.clock(),
                 parts.random(),
-                settings,
+                () -> this.settings,
                 parts.headers(),
                 table,
                 prober,
@@ -129,6 +129,18 @@
     }
   }
 
+  /**
+   * Takes new settings. Budgets and times are in force at once; addresses and names need a restart.
+   */
+  public void reload(FrontSettings newer) {
+    if (newer.equals(settings)) {
+      return;
+    }
+    settings = newer;
+    parts.loop().execute(this::refresh);
+    LOG.info("gateway: settings reloaded");
+  }
+
   /** Returns whether new connections are welcome. */
   public boolean isReady() {
     return complete && !stopping;
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
@@ -37,13 +37,13 @@
   /**
    * The parts of a context.
    *
-   * @param gateways names of all known gateways; empty if they are not known
+   * @param settings settings in force; they may change while the process runs
    */
   public record Parts(
       EventLoop loop,
       MonotonicClock clock,
       RandomGenerator random,
-      FrontSettings settings,
+      Supplier<FrontSettings> settings,
       ProtocolHeaders headers,
       BackendTable table,
       Prober prober,
@@ -74,7 +74,7 @@
   }
 
   FrontSettings settings() {
-    return parts.settings();
+    return parts.settings().get();
   }
 
   ProtocolHeaders headers() {
@@ -106,10 +106,9 @@
         retryBudgets.computeIfAbsent(
             service,
             name ->
-                new RetryBudget(
-                    name.value(), parts.settings().retryRatio(), parts.fleet().monitor()));
+                new RetryBudget(name.value(), settings().retryRatio(), parts.fleet().monitor()));
     int gateways = parts.fleet().gateways().get().size();
-    budget.share(gateways == 0 ? 0 : parts.settings().retrySlack(), gateways);
+    budget.share(gateways == 0 ? 0 : settings().retrySlack(), gateways);
     return budget;
   }
 
--- a/edge/src/main/java/org/cowslipstair/edge/relay/RelayCodec.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/RelayCodec.java
@@ -164,7 +164,8 @@
         .packInt(backend.slots())
         .packBoolean(backend.leaving())
         .packLong(Math.max(0, (backend.coldUntilNs() - clock.nowNs()) / NS_PER_MS))
-        .packLong(backend.bornUnixMs());
+        .packLong(backend.bornUnixMs())
+        .packLong(backend.sequence());
   }
 
   private BackendInstance unpackBackend(MessageUnpacker unpacker) throws IOException {
@@ -176,6 +177,7 @@
         unpacker.unpackInt(),
         unpacker.unpackBoolean(),
         clock.nowNs() + unpacker.unpackLong() * NS_PER_MS,
+        unpacker.unpackLong(),
         unpacker.unpackLong());
   }
 }
--- a/edge/src/test/java/org/cowslipstair/edge/EdgeRig.java
+++ b/edge/src/test/java/org/cowslipstair/edge/EdgeRig.java
@@ -151,7 +151,7 @@
     private Content instance(ScriptedBackend backend) {
       return new Content.Backend(
           new BackendInstance(
-              new BackendName(backend.id), SERVICE, backend.address(), ZONE, 3, false, 0, 1));
+              new BackendName(backend.id), SERVICE, backend.address(), ZONE, 3, false, 0, 1, 1));
     }
 
     @Override
--- a/edge/src/test/java/org/cowslipstair/edge/relay/RelayCodecTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/relay/RelayCodecTest.java
@@ -50,7 +50,8 @@
             3,
             true,
             coldUntilNs,
-            77);
+            77,
+            12);
     return new Item("b", 4, new Content.Backend(instance));
   }
 
--- a/lib/src/main/java/org/cowslipstair/logic/traffic/TrafficKeeper.java
+++ b/lib/src/main/java/org/cowslipstair/logic/traffic/TrafficKeeper.java
@@ -89,13 +89,22 @@
         return;
       }
     }
-    known.put(item.name(), item);
+    boolean replayed =
+        before != null
+            && before.content() instanceof Content.Backend(BackendInstance held)
+            && item.content() instanceof Content.Backend(BackendInstance reported)
+            && reported.isOlderThan(held);
+    known.put(item.name(), replayed ? withRevision(before, item.revision()) : item);
     lapsed.remove(item.name());
     if (item.content() instanceof Content.Plan(TrafficPlan newer)) {
       takePlan(newer);
     }
   }
 
+  private static Item withRevision(Item item, long revision) {
+    return new Item(item.name(), revision, item.content());
+  }
+
   private void takePlan(TrafficPlan newer) {
     long inForce = plan.map(TrafficPlan::version).orElse(0L);
     if (newer.version() >= inForce) {
--- a/lib/src/test/java/org/cowslipstair/logic/traffic/TrafficKeeperTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/traffic/TrafficKeeperTest.java
@@ -33,6 +33,11 @@
   }
 
   private static Item backend(String name, long revision, boolean leaving) {
+    return backend(name, revision, leaving, 1, revision);
+  }
+
+  private static Item backend(
+      String name, long revision, boolean leaving, long bornUnixMs, long sequence) {
     return new Item(
         name,
         revision,
@@ -45,7 +50,8 @@
                 3,
                 leaving,
                 0,
-                1)));
+                bornUnixMs,
+                sequence)));
   }
 
   @BeforeEach
@@ -127,4 +133,23 @@
     keeper.apply(Collection.CONFIGURATION, new Changes(List.of(broken), Set.of(), 3), 0, false);
     assertThat(version(), is(5L));
   }
+
+  @Test
+  void replayedReportOfALeavingBackendIsLeftOut() {
+    keeper.replace(Collection.BACKENDS, List.of(backend("b", 2, true, 50, 9)), 2, 0, false);
+    Item replayed = backend("b", 3, false, 50, 8);
+    keeper.apply(Collection.BACKENDS, new Changes(List.of(replayed), Set.of(), 3), 0, false);
+    assertThat(eligible(0), is(0));
+    Item earlierLife = backend("b", 4, false, 40, 99);
+    keeper.apply(Collection.BACKENDS, new Changes(List.of(earlierLife), Set.of(), 4), 0, false);
+    assertThat(eligible(0), is(0));
+  }
+
+  @Test
+  void newLifeOfTheSameNameIsTaken() {
+    keeper.replace(Collection.BACKENDS, List.of(backend("b", 2, true, 50, 9)), 2, 0, false);
+    Item reborn = backend("b", 3, false, 60, 1);
+    keeper.apply(Collection.BACKENDS, new Changes(List.of(reborn), Set.of(), 3), 0, false);
+    assertThat(eligible(0), is(1));
+  }
 }
