Prefer backend servers with an idle connection, and check two more promises

The order of candidates puts those with an idle connection first. WHOLE_ANSWER and NO_CALL_CUT_OFF_BY_STOP are checked in the event-loop gateway.

--- a/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
+++ b/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
@@ -14,6 +14,7 @@
 import org.cowslipstair.edge.relay.StateSync;
 import org.cowslipstair.logic.budget.ColdAllowance;
 import org.cowslipstair.logic.budget.ProbeAllowance;
+import org.cowslipstair.logic.invariant.Invariant;
 import org.cowslipstair.logic.placement.CandidateOrder;
 import org.cowslipstair.logic.traffic.TrafficKeeper;
 import org.cowslipstair.model.traffic.GatewayEntry;
@@ -173,15 +174,24 @@
         server.close();
         closed = true;
       }
-      if (parts.loop().submit(this::closeIdle).syncUninterruptibly().getNow()) {
+      if (openAfterClosingIdle() == 0) {
         break;
       }
     }
+    int cutOff = openAfterClosingIdle();
+    parts.monitor().checkAtMost(Invariant.NO_CALL_CUT_OFF_BY_STOP, settings.name(), cutOff, 0);
     LOG.info("gateway: stopped");
   }
 
-  private boolean closeIdle() {
-    callers.closeIdle();
-    return callers.connections() == 0;
+  private int openAfterClosingIdle() {
+    return parts
+        .loop()
+        .submit(
+            () -> {
+              callers.closeIdle();
+              return callers.connections();
+            })
+        .syncUninterruptibly()
+        .getNow();
   }
 }
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
@@ -22,7 +22,6 @@
 import org.cowslipstair.model.call.NotRunReason;
 import org.cowslipstair.model.config.BackendName;
 import org.cowslipstair.model.config.ServiceName;
-import org.cowslipstair.model.traffic.LoadReport;
 import org.cowslipstair.model.traffic.Route;
 import org.jspecify.annotations.Nullable;
 
@@ -185,18 +184,7 @@
     tried.add(entry.record().instance().name());
     Attempt attempt = new Attempt(context, entry, connection, this);
     running.add(attempt);
-    String load = chosen.load().map(LoadReport::toString).orElse("");
-    context
-        .observer()
-        .sent(
-            new ExchangeObserver.Sent(
-                message.requestId(),
-                entry.record().instance().name(),
-                cause,
-                chosen.total(),
-                load,
-                (endNs - nowNs) / NS_PER_MS,
-                nowNs - message.arrivedNs()));
+    context.reportSent(message, chosen, cause, endNs);
     attempt.send(message, endNs);
     if (route.kind().isRepeatable() && sends < route.maxAttempts()) {
       hedge.start(workNs(), targetNs);
@@ -283,6 +271,10 @@
   }
 
   private void deliver(Attempt.Result.Answered answered) {
+    long missing = Results.missingBytes(answered);
+    if (missing != 0) {
+      context.violated(Invariant.WHOLE_ANSWER, message, missing);
+    }
     HttpHeaders headers = new DefaultHttpHeaders();
     HeaderRules.copyEndToEnd(answered.head().headers(), headers);
     responder.answer(answered.head().status(), headers, answered.body());
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
@@ -24,6 +24,8 @@
 
 /** What the exchanges of one gateway share. Lives on the event loop. */
 public final class ExchangeContext {
+  private static final long NS_PER_MS = 1_000_000L;
+
   private final Parts parts;
   private final Map<ServiceName, RetryBudget> retryBudgets = new HashMap<>();
   private final Map<String, SplitSequence> splits = new HashMap<>();
@@ -122,4 +124,27 @@
     String subject = message.requestId().orElse("");
     parts.fleet().monitor().violated(new Violation(invariant, subject, observed, 0));
   }
+
+  void reportSent(RequestMessage message, Placement.Chosen chosen, String cause, long endNs) {
+    String load =
+        chosen
+            .load()
+            .map(
+                report ->
+                    "%d+%d/%d at %.2f"
+                        .formatted(
+                            report.running(), report.waiting(), report.slots(), report.pace()))
+            .orElse("");
+    long nowNs = nowNs();
+    observer()
+        .sent(
+            new ExchangeObserver.Sent(
+                message.requestId(),
+                chosen.entry().record().instance().name(),
+                cause,
+                chosen.total(),
+                load,
+                (endNs - nowNs) / NS_PER_MS,
+                nowNs - message.arrivedNs()));
+  }
 }
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Placement.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Placement.java
@@ -2,7 +2,9 @@
 
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -112,19 +114,34 @@
   }
 
   private List<BackendEntry> candidates() {
-    List<BackendEntry> eligible = context.table().eligible(request.service());
-    List<BackendRecord> records = eligible.stream().map(BackendEntry::record).toList();
+    Map<BackendRecord, BackendEntry> eligible = new LinkedHashMap<>();
+    context
+        .table()
+        .eligible(request.service())
+        .forEach(entry -> eligible.put(entry.record(), entry));
     List<BackendEntry> ordered = new ArrayList<>();
-    for (BackendRecord record :
-        context.fleet().order().order(records, request.excluded(), context.nowNs())) {
-      BackendEntry entry = eligible.get(records.indexOf(record));
-      if (mayUse(entry)) {
-        ordered.add(entry);
-      }
-    }
+    context
+        .fleet()
+        .order()
+        .order(
+            List.copyOf(eligible.keySet()),
+            request.excluded(),
+            record -> entryOf(eligible, record).hasIdle(),
+            context.nowNs())
+        .forEach(record -> ordered.add(entryOf(eligible, record)));
+    ordered.removeIf(entry -> !mayUse(entry));
     return ordered;
   }
 
+  private static BackendEntry entryOf(
+      Map<BackendRecord, BackendEntry> entries, BackendRecord record) {
+    BackendEntry entry = entries.get(record);
+    if (entry == null) {
+      throw new IllegalStateException("record without an entry");
+    }
+    return entry;
+  }
+
   /** Starts asking. */
   void start() {
     if (candidates.isEmpty()) {
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Results.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Results.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 
 /** Helpers for results of sends. */
 final class Results {
@@ -37,4 +38,15 @@
     return status.code() != HttpResponseStatus.SERVICE_UNAVAILABLE.code()
         && status.code() != HttpResponseStatus.TOO_MANY_REQUESTS.code();
   }
+
+  /** Returns the bytes by which an answer falls short of the length that it announced. */
+  static long missingBytes(Attempt.Result.Answered answered) {
+    long received = answered.body().readableBytes();
+    boolean announced =
+        HttpUtil.isContentLengthSet(answered.head())
+            && !HttpUtil.isTransferEncodingChunked(answered.head());
+    return announced && received > 0
+        ? HttpUtil.getContentLength(answered.head(), received) - received
+        : 0;
+  }
 }
--- a/lib/src/main/java/org/cowslipstair/logic/placement/CandidateOrder.java
+++ b/lib/src/main/java/org/cowslipstair/logic/placement/CandidateOrder.java
@@ -6,14 +6,15 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.cowslipstair.model.config.BackendName;
 import org.cowslipstair.model.config.ZoneName;
 
 /**
- * In which order the backend servers of a service are asked for their load: those of the own zone
- * first, each zone's in random order. Within a zone a gateway keeps to a subset that it draws by
- * hash, as every pair of a gateway and a backend server costs connections.
+ * In which order the backend servers of a service are asked for their load: a subset of those in
+ * the own zone, drawn by hash, then the others; of each, those with an idle connection first, as
+ * opening one costs time and a slot at the backend server.
  */
 public final class CandidateOrder {
   /** Backend servers of one zone that a gateway asks before it turns to others. */
@@ -34,40 +35,42 @@
    * Orders backend servers.
    *
    * @param excluded backend servers that must not be chosen
+   * @param connected whether there is an idle connection to a backend server
    */
   public List<BackendRecord> order(
-      List<BackendRecord> records, Set<BackendName> excluded, long nowNs) {
-    List<Ranked> ranked = new ArrayList<>();
-    int local = 0;
+      List<BackendRecord> records,
+      Set<BackendName> excluded,
+      Predicate<BackendRecord> connected,
+      long nowNs) {
+    List<Ranked> local = new ArrayList<>();
+    List<Ranked> far = new ArrayList<>();
     for (BackendRecord record : records) {
       if (excluded.contains(record.instance().name()) || record.isPaused(nowNs)) {
         continue;
       }
       boolean isLocal = record.instance().zone().equals(zone);
-      local += isLocal ? 1 : 0;
-      ranked.add(new Ranked(record, isLocal, hash(record), random.nextInt()));
-    }
-    ranked.sort(Comparator.comparing(Ranked::hash));
-    List<Ranked> near = new ArrayList<>();
-    List<Ranked> far = new ArrayList<>();
-    for (Ranked candidate : ranked) {
-      boolean inSubset = candidate.local && near.size() < SUBSET_SIZE;
-      (inSubset ? near : far).add(candidate);
-    }
-    near.sort(Comparator.comparing(Ranked::draw));
-    if (local == 0) {
-      far.sort(Comparator.comparing(Ranked::hash));
+      Ranked ranked = new Ranked(record, !connected.test(record), hash(record), random.nextInt());
+      (isLocal ? local : far).add(ranked);
     }
+    local.sort(Comparator.comparingInt(Ranked::hash));
+    int near = Math.min(SUBSET_SIZE, local.size());
+    far.addAll(local.subList(near, local.size()));
     List<BackendRecord> ordered = new ArrayList<>();
-    near.forEach(candidate -> ordered.add(candidate.record));
-    far.forEach(candidate -> ordered.add(candidate.record));
+    addShuffled(local.subList(0, near), ordered);
+    addShuffled(far, ordered);
     return ordered;
   }
 
+  private static void addShuffled(List<Ranked> from, List<BackendRecord> to) {
+    from.stream()
+        .sorted(Comparator.comparing(Ranked::unconnected).thenComparing(Ranked::draw))
+        .forEach(ranked -> to.add(ranked.record));
+  }
+
   private int hash(BackendRecord record) {
     String key = self + "/" + record.instance().name().value();
     return Hashing.murmur3_32_fixed().hashString(key, StandardCharsets.UTF_8).asInt();
   }
 
-  private record Ranked(BackendRecord record, boolean local, int hash, int draw) {}
+  private record Ranked(BackendRecord record, boolean unconnected, int hash, int draw) {}
 }
