--- /dev/null
+++ b/edge/src/test/java/org/cowslipstair/edge/relay/StateSyncTest.java
@@ -0,0 +1,209 @@
+package org.cowslipstair.edge.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Single;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import org.cowslipstair.edge.FrontSettings;
+import org.cowslipstair.edge.GatewayParts;
+import org.cowslipstair.edge.ProtocolHeaders;
+import org.cowslipstair.logic.invariant.InvariantMonitor;
+import org.cowslipstair.logic.relay.WatcherRoles;
+import org.cowslipstair.logic.traffic.TrafficKeeper;
+import org.cowslipstair.model.config.HostPort;
+import org.cowslipstair.model.config.ZoneName;
+import org.cowslipstair.model.traffic.CallerBounds;
+import org.cowslipstair.model.traffic.GatewayEntry;
+import org.cowslipstair.model.traffic.TrafficPlan;
+import org.cowslipstair.port.MonotonicClock;
+import org.cowslipstair.port.ObjectFeed;
+import org.cowslipstair.port.StoreException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Gateways of one zone, each on an event loop of its own, over loopback. */
+final class StateSyncTest {
+  private static final ZoneName ZONE = new ZoneName("z");
+  private static final long TRIES = 60_000;
+  private final Map<String, GatewayEntry> announced = new ConcurrentHashMap<>();
+  private final List<Node> nodes = new ArrayList<>();
+  private volatile boolean storeAway;
+  private volatile long version = 1;
+
+  @AfterEach
+  void stop() {
+    nodes.forEach(Node::stop);
+  }
+
+  private void await(BooleanSupplier condition) throws InterruptedException {
+    for (int i = 0; i < TRIES && !condition.getAsBoolean(); i++) {
+      TimeUnit.MILLISECONDS.sleep(1);
+    }
+    assertThat(condition.getAsBoolean(), is(true));
+  }
+
+  private Node start(String name, List<HostPort> seeds) throws InterruptedException {
+    Node node = new Node(name, seeds);
+    nodes.add(node);
+    return node;
+  }
+
+  /** Starts three gateways and returns the one that does not watch. */
+  private Node startFleet() throws InterruptedException {
+    for (String name : List.of("g-1", "g-2", "g-3")) {
+      start(name, List.of());
+    }
+    List<String> watchers =
+        new WatcherRoles("", ZONE)
+            .watchers(List.copyOf(announced.values()), 0).stream().map(GatewayEntry::name).toList();
+    nodes.sort(Comparator.comparing(node -> watchers.contains(node.name)));
+    Node supplied = nodes.getFirst();
+    await(() -> supplied.version() == 1 && supplied.watches.get() == 0);
+    return supplied;
+  }
+
+  @Test
+  void changesReachAGatewayThatDoesNotWatch() throws InterruptedException {
+    Node supplied = startFleet();
+    version = 2;
+    await(() -> supplied.version() == 2);
+  }
+
+  @Test
+  void gatewayTakesOverWhenItsWatchersAreGone() throws InterruptedException {
+    Node supplied = startFleet();
+    nodes.stream().filter(node -> node != supplied).forEach(Node::stop);
+    await(() -> supplied.watches.get() > 0);
+    version = 3;
+    await(() -> supplied.version() == 3);
+  }
+
+  @Test
+  void newbornGetsItsStateFromASeedWhileTheStoreIsAway() throws InterruptedException {
+    Node first = start("g-1", List.of());
+    await(() -> first.version() == 1);
+    storeAway = true;
+    Node newborn = start("g-9", List.of(announced.get("g-1").relayAddress()));
+    await(() -> newborn.version() == 1);
+  }
+
+  /** One gateway's part of the relay, with a feed of its own. */
+  private final class Node {
+    final String name;
+    final AtomicInteger watches = new AtomicInteger();
+    private final TrafficKeeper keeper = new TrafficKeeper(InvariantMonitor.failing());
+    private final MultiThreadIoEventLoopGroup group =
+        new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private volatile long version;
+
+    Node(String name, List<HostPort> seeds) throws InterruptedException {
+      this.name = name;
+      HostPort any = new HostPort("127.0.0.1", 0);
+      FrontSettings settings =
+          new FrontSettings(
+              name,
+              ZONE,
+              any,
+              any,
+              new FrontSettings.Relay(any, seeds, false),
+              0.2,
+              10,
+              1,
+              1,
+              new FrontSettings.FleetBounds(1, 1_000, 1 << 20, 20));
+      GatewayParts parts =
+          new GatewayParts(
+              group.next(),
+              MonotonicClock.system(),
+              new Random(3),
+              new Feed(),
+              new ProtocolHeaders("a", "b", "c", "d", "e", "f", "g", "h"),
+              InvariantMonitor.failing());
+      StateSync sync =
+          new StateSync(
+              settings,
+              parts,
+              keeper,
+              () -> version = keeper.state(0).plan().map(TrafficPlan::version).orElse(0L));
+      sync.start();
+      await(() -> announced.containsKey(name) || storeAway);
+    }
+
+    long version() {
+      return version;
+    }
+
+    void stop() {
+      group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    /** The store as this gateway sees it; a watch ends when the version has changed. */
+    private final class Feed implements ObjectFeed {
+      private List<Item> items(Collection collection) {
+        return switch (collection) {
+          case CONFIGURATION -> List.of(plan());
+          case GATEWAYS ->
+              announced.values().stream()
+                  .map(entry -> new Item(entry.name(), 1, new Content.Gateway(entry)))
+                  .toList();
+          case BACKENDS, ZONES_OUT -> List.of();
+        };
+      }
+
+      private Item plan() {
+        TrafficPlan plan =
+            new TrafficPlan(version(), CallerBounds.defaults(), List.of(), List.of());
+        return new Item("main", version(), new Content.Plan(plan));
+      }
+
+      private long version() {
+        return StateSyncTest.this.version;
+      }
+
+      @Override
+      public Single<Page> list(Collection collection, Optional<String> after, Freshness age) {
+        if (storeAway) {
+          return Single.error(new StoreException.Unavailable("list", "away"));
+        }
+        return Single.fromCallable(() -> new Page(items(collection), false, version()));
+      }
+
+      @Override
+      public Single<Changes> watch(Collection collection, long revision, long waitMs) {
+        Single<Changes> changes =
+            collection == Collection.CONFIGURATION
+                ? Single.timer(5, TimeUnit.MILLISECONDS)
+                    .repeat()
+                    .filter(_ -> version() > revision)
+                    .firstOrError()
+                    .map(_ -> new Changes(List.of(plan()), Set.of(), version()))
+                : Single.never();
+        return changes
+            .doOnSubscribe(_ -> watches.incrementAndGet())
+            .doFinally(watches::decrementAndGet);
+      }
+
+      @Override
+      public Completable announce(GatewayEntry gateway) {
+        if (storeAway) {
+          return Completable.error(new StoreException.Unavailable("announce", "away"));
+        }
+        return Completable.fromAction(() -> announced.put(gateway.name(), gateway));
+      }
+    }
+  }
+}
