--- a/edge/src/main/java/org/cowslipstair/edge/backend/BackendTable.java
+++ b/edge/src/main/java/org/cowslipstair/edge/backend/BackendTable.java
@@ -86,6 +86,7 @@
     BackendInstance instance = entry.record().instance();
     return entries.get(instance.name()) == entry
         && !instance.leaving()
+        && (entry.record().isHealthy() || !state.isDoubtful(instance.name()))
         && !state.zonesOut().contains(instance.zone());
   }
 
--- a/edge/src/main/java/org/cowslipstair/edge/relay/RelayCodec.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/RelayCodec.java
@@ -48,14 +48,14 @@
           packer.packInt(SNAPSHOT).packInt(collection.ordinal()).packLong(revision);
           packItems(packer, items);
         }
-        case RelayMessage.Changed(var collection, Changes changes, boolean afterOutage) -> {
+        case RelayMessage.Changed(var collection, Changes changes, long graceMs) -> {
           packer.packInt(CHANGED).packInt(collection.ordinal()).packLong(changes.revision());
           packItems(packer, changes.items());
           packer.packArrayHeader(changes.deleted().size());
           for (String name : changes.deleted()) {
             packer.packString(name);
           }
-          packer.packBoolean(afterOutage);
+          packer.packLong(graceMs);
         }
         case RelayMessage.Proof(long ageMs) -> packer.packInt(PROOF).packLong(ageMs);
       }
@@ -81,9 +81,9 @@
           for (int i = 0; i < count; i++) {
             deleted.add(unpacker.unpackString());
           }
-          boolean afterOutage = unpacker.unpackBoolean();
+          long graceMs = unpacker.unpackLong();
           yield new RelayMessage.Changed(
-              collection, new Changes(items, deleted, revision), afterOutage);
+              collection, new Changes(items, deleted, revision), graceMs);
         }
         case PROOF -> new RelayMessage.Proof(unpacker.unpackLong());
         default -> throw new RelayException("message type " + type);
--- a/edge/src/main/java/org/cowslipstair/edge/relay/RelayMessage.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/RelayMessage.java
@@ -15,9 +15,12 @@
     }
   }
 
-  /** Changes that follow on what was sent before. */
-  record Changed(Collection collection, Changes changes, boolean afterOutage)
-      implements RelayMessage {}
+  /**
+   * Changes that follow on what was sent before.
+   *
+   * @param graceMs time for which backend servers that are deleted may still come back
+   */
+  record Changed(Collection collection, Changes changes, long graceMs) implements RelayMessage {}
 
   /**
    * Proof that the sender is in contact with the store.
--- a/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
@@ -11,6 +11,7 @@
 import org.cowslipstair.edge.FrontSettings;
 import org.cowslipstair.edge.GatewayParts;
 import org.cowslipstair.edge.sync.CollectionFollower;
+import org.cowslipstair.logic.traffic.OutageMemory;
 import org.cowslipstair.logic.traffic.TrafficKeeper;
 import org.cowslipstair.model.traffic.GatewayEntry;
 import org.cowslipstair.port.ObjectFeed;
@@ -54,6 +55,7 @@
   private final RelaySubscriptions subscriptions;
   private final List<CollectionFollower> followers = new ArrayList<>();
   private final Set<Collection> lost = EnumSet.noneOf(Collection.class);
+  private final OutageMemory outages = new OutageMemory();
   private final long startedNs;
   private GatewayEntry self;
   private long fleetKnownNs;
@@ -129,7 +131,7 @@
         .subscribe(
             page -> {
               lookedUp = true;
-              listed(Collection.GATEWAYS, page.items(), page.revision(), false);
+              listed(Collection.GATEWAYS, page.items(), page.revision());
               decide();
             },
             cause -> LOG.warnf("fleet: reading the gateways failed: %s", cause.getMessage()));
@@ -174,7 +176,6 @@
               collection,
               parts.feed(),
               scheduler,
-              parts.clock(),
               parts.random(),
               this,
               settings.bounds().gatherMs());
@@ -232,21 +233,22 @@
     long nowNs = parts.clock().nowNs();
     switch (message) {
       case RelayMessage.Snapshot(var collection, long revision, var items) -> {
-        keeper.replace(collection, items, revision, nowNs, false);
+        keeper.replace(collection, items, revision, nowNs, 0);
         onChange.run();
       }
-      case RelayMessage.Changed(var collection, var changes, boolean afterOutage) ->
-          apply(collection, changes, afterOutage);
+      case RelayMessage.Changed(var collection, var changes, long graceMs) ->
+          apply(collection, changes, graceMs * NS_PER_MS);
       case RelayMessage.Proof _ -> {}
     }
   }
 
   @Override
-  public void listed(
-      Collection collection, List<ObjectFeed.Item> items, long revision, boolean afterOutage) {
-    contactAt(parts.clock().nowNs());
-    keeper.replace(collection, items, revision, parts.clock().nowNs(), afterOutage);
-    refreshLater(afterOutage);
+  public void listed(Collection collection, List<ObjectFeed.Item> items, long revision) {
+    long nowNs = parts.clock().nowNs();
+    contactAt(nowNs);
+    long graceNs = outages.graceNs(nowNs);
+    keeper.replace(collection, items, revision, nowNs, graceNs);
+    refreshLater(graceNs);
     onChange.run();
     server.publish(
         new RelayMessage.Snapshot(
@@ -254,32 +256,37 @@
   }
 
   @Override
-  public void changed(Collection collection, ObjectFeed.Changes changes, boolean afterOutage) {
-    contactAt(parts.clock().nowNs());
-    apply(collection, changes, afterOutage);
-    server.publish(new RelayMessage.Changed(collection, changes, afterOutage));
+  public void changed(Collection collection, ObjectFeed.Changes changes) {
+    long nowNs = parts.clock().nowNs();
+    contactAt(nowNs);
+    long graceNs = outages.graceNs(nowNs);
+    apply(collection, changes, graceNs);
+    server.publish(new RelayMessage.Changed(collection, changes, graceNs / NS_PER_MS));
   }
 
-  private void apply(Collection collection, ObjectFeed.Changes changes, boolean afterOutage) {
-    keeper.apply(collection, changes, parts.clock().nowNs(), afterOutage);
-    refreshLater(afterOutage);
+  private void apply(Collection collection, ObjectFeed.Changes changes, long graceNs) {
+    keeper.apply(collection, changes, parts.clock().nowNs(), graceNs);
+    refreshLater(graceNs);
     onChange.run();
   }
 
   /** Entries that lapsed during an outage are dropped when their grace is over. */
-  private void refreshLater(boolean afterOutage) {
-    if (afterOutage) {
-      scheduler.scheduleDirect(onChange, TrafficKeeper.LAPSE_GRACE_NS, TimeUnit.NANOSECONDS);
+  private void refreshLater(long graceNs) {
+    if (graceNs > 0) {
+      scheduler.scheduleDirect(onChange, graceNs, TimeUnit.NANOSECONDS);
     }
   }
 
   @Override
   public void contact(Collection collection, boolean inContact, String cause) {
+    long nowNs = parts.clock().nowNs();
     if (inContact) {
       lost.remove(collection);
+      outages.contact(nowNs);
       LOG.infof("store: %s is followed again", collection);
     } else {
       lost.add(collection);
+      outages.lost(nowNs);
       LOG.warnf("store: %s is not followed: %s", collection, cause);
     }
   }
--- a/edge/src/main/java/org/cowslipstair/edge/sync/CollectionFollower.java
+++ b/edge/src/main/java/org/cowslipstair/edge/sync/CollectionFollower.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
-import org.cowslipstair.port.MonotonicClock;
 import org.cowslipstair.port.ObjectFeed;
 import org.cowslipstair.port.ObjectFeed.Collection;
 import org.cowslipstair.port.ObjectFeed.Freshness;
@@ -27,18 +26,11 @@
   private static final long WATCH_MS = 29_000;
 
   private static final long FIRST_BACKOFF_MS = 60;
-  private static final long LONGEST_BACKOFF_MS = 1_000;
-
-  /** An outage this long may have let entries lapse. */
-  private static final long LAPSING_OUTAGE_NS = 2_000_000_000L;
-
-  /** Time after an outage in which entries that lapsed come back. */
-  private static final long RETURN_NS = 2_000_000_000L;
+  private static final long LONGEST_BACKOFF_MS = 600;
 
   private final Collection collection;
   private final ObjectFeed feed;
   private final Scheduler scheduler;
-  private final MonotonicClock clock;
   private final RandomGenerator random;
   private final Listener listener;
   private final long gatherMs;
@@ -47,18 +39,15 @@
   private long listRevision;
   private long revision;
   private int failures;
-  private long failingSinceNs;
-  private long outageEndedNs;
-  private boolean outageSeen;
   private Freshness freshness = Freshness.CACHED;
 
   /** Receives what the collection holds. */
   public interface Listener {
     /** The whole collection. */
-    void listed(Collection collection, List<Item> items, long revision, boolean afterOutage);
+    void listed(Collection collection, List<Item> items, long revision);
 
     /** Changes since the last call. */
-    void changed(Collection collection, ObjectFeed.Changes changes, boolean afterOutage);
+    void changed(Collection collection, ObjectFeed.Changes changes);
 
     /** The store was lost or is back. */
     void contact(Collection collection, boolean inContact, String cause);
@@ -73,7 +62,6 @@
       Collection collection,
       ObjectFeed feed,
       Scheduler scheduler,
-      MonotonicClock clock,
       RandomGenerator random,
       Listener listener,
       long gatherMs) {
@@ -81,7 +69,6 @@
     this.collection = collection;
     this.feed = feed;
     this.scheduler = scheduler;
-    this.clock = clock;
     this.random = random;
     this.listener = listener;
   }
@@ -121,7 +108,7 @@
     }
     succeeded();
     revision = listRevision;
-    listener.listed(collection, pages, listRevision, isAfterOutage());
+    listener.listed(collection, pages, listRevision);
     watch();
   }
 
@@ -137,7 +124,7 @@
     revision = Math.max(revision, changes.revision());
     boolean any = !changes.items().isEmpty() || !changes.deleted().isEmpty();
     if (any) {
-      listener.changed(collection, changes, isAfterOutage());
+      listener.changed(collection, changes);
     }
     later(this::watch, gatherMs);
   }
@@ -145,19 +132,10 @@
   private void succeeded() {
     if (failures > 0) {
       listener.contact(collection, true, "");
-      long nowNs = clock.nowNs();
-      if (nowNs - failingSinceNs >= LAPSING_OUTAGE_NS) {
-        outageSeen = true;
-        outageEndedNs = nowNs;
-      }
     }
     failures = 0;
   }
 
-  private boolean isAfterOutage() {
-    return outageSeen && clock.nowNs() - outageEndedNs < RETURN_NS;
-  }
-
   private void failed(Throwable cause, boolean listing) {
     if (cause instanceof StoreException.RevisionGone) {
       freshness = Freshness.LATEST;
@@ -168,7 +146,6 @@
       LOG.errorf(cause, "store: %s: unexpected failure", collection);
     }
     if (failures == 0) {
-      failingSinceNs = clock.nowNs();
       listener.contact(collection, false, String.valueOf(cause.getMessage()));
     }
     failures++;
--- /dev/null
+++ b/edge/src/test/java/org/cowslipstair/edge/backend/BackendTableTest.java
@@ -0,0 +1,83 @@
+package org.cowslipstair.edge.backend;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.cowslipstair.edge.http.ServerConnector;
+import org.cowslipstair.model.config.BackendName;
+import org.cowslipstair.model.config.HostPort;
+import org.cowslipstair.model.config.ServiceName;
+import org.cowslipstair.model.config.ZoneName;
+import org.cowslipstair.model.traffic.BackendInstance;
+import org.cowslipstair.model.traffic.CallerBounds;
+import org.cowslipstair.model.traffic.ServiceTraits;
+import org.cowslipstair.model.traffic.TrafficPlan;
+import org.cowslipstair.model.traffic.TrafficState;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+final class BackendTableTest {
+  private static final ServiceName SERVICE = new ServiceName("s");
+  private static final BackendName NAME = new BackendName("b");
+  private final MultiThreadIoEventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final BackendTable table =
+      new BackendTable(new ServerConnector(group.next(), "X-Id", 100), () -> 0);
+
+  @AfterEach
+  void stop() {
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  private BackendEntry update(long bornUnixMs, Set<ZoneName> zonesOut, Set<BackendName> doubtful) {
+    TrafficPlan plan =
+        new TrafficPlan(
+            1,
+            CallerBounds.defaults(),
+            List.of(new ServiceTraits(SERVICE, "/healthz", 10, 1)),
+            List.of());
+    BackendInstance instance =
+        new BackendInstance(
+            NAME,
+            SERVICE,
+            new HostPort("127.0.0.1", 9),
+            new ZoneName("z"),
+            3,
+            false,
+            0,
+            bornUnixMs,
+            1);
+    table.update(TrafficState.of(plan, List.of(instance), zonesOut, doubtful));
+    return table.entries().iterator().next();
+  }
+
+  @Test
+  void backendWhoseEntryLapsedIsUsedOnlyWhileItSaysThatItIsWell() {
+    BackendEntry entry = update(1, Set.of(), Set.of(NAME));
+    assertThat(table.takesRequests(entry), is(true));
+    entry.record().probed(false, 0);
+    assertThat(table.takesRequests(entry), is(false));
+    update(1, Set.of(), Set.of());
+    assertThat(table.takesRequests(entry), is(true));
+  }
+
+  @Test
+  void zoneOutTakesNothing() {
+    BackendEntry entry = update(1, Set.of(new ZoneName("z")), Set.of());
+    assertThat(table.takesRequests(entry), is(false));
+  }
+
+  @Test
+  void newLifeOfTheSameNameStartsWithoutMemory() {
+    BackendEntry first = update(1, Set.of(), Set.of());
+    BackendEntry second = update(2, Set.of(), Set.of());
+    assertThat(first == second, is(false));
+    assertThat(table.takesRequests(first), is(false));
+    assertThat(table.takesRequests(second), is(true));
+  }
+}
--- a/edge/src/test/java/org/cowslipstair/edge/relay/RelayCodecTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/relay/RelayCodecTest.java
@@ -76,7 +76,7 @@
                 new Item("z", 6, new Content.ZoneOut(ZONE))),
             Set.of("gone"),
             7);
-    RelayMessage sent = new RelayMessage.Changed(Collection.GATEWAYS, changes, true);
+    RelayMessage sent = new RelayMessage.Changed(Collection.GATEWAYS, changes, 1_500);
     assertThat(relay(sent), is(sent));
     assertThat(relay(new RelayMessage.Proof(12)), is(new RelayMessage.Proof(12)));
   }
--- a/edge/src/test/java/org/cowslipstair/edge/sync/CollectionFollowerTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/sync/CollectionFollowerTest.java
@@ -27,13 +27,7 @@
   private final List<String> heard = new ArrayList<>();
   private final CollectionFollower follower =
       new CollectionFollower(
-          Collection.BACKENDS,
-          feed,
-          scheduler,
-          () -> scheduler.now(TimeUnit.NANOSECONDS),
-          new Random(1),
-          new Recorder(),
-          GATHER_MS);
+          Collection.BACKENDS, feed, scheduler, new Random(1), new Recorder(), GATHER_MS);
 
   private static Item item(String name) {
     return new Item(name, 1, new Content.Unreadable(name));
@@ -87,7 +81,7 @@
   }
 
   @Test
-  void reportsALongOutageWithTheNextList() {
+  void reportsTheLossAndTheReturnOfContactOnce() {
     follower.start(Freshness.CACHED);
     listed(7, false);
     feed.watches.remove().onError(new StoreException.Unavailable("watch", "status 503"));
@@ -98,21 +92,17 @@
     }
     advance(2_000);
     listed(9, false);
-    assertThat(
-        heard, contains("listed 0 at 7", "contact lost", "contact", "listed 0 at 9 after outage"));
+    assertThat(heard, contains("listed 0 at 7", "contact lost", "contact", "listed 0 at 9"));
   }
 
   private final class Recorder implements CollectionFollower.Listener {
     @Override
-    public void listed(
-        Collection collection, List<Item> items, long revision, boolean afterOutage) {
-      heard.add(
-          "listed %d at %d%s"
-              .formatted(items.size(), revision, afterOutage ? " after outage" : ""));
+    public void listed(Collection collection, List<Item> items, long revision) {
+      heard.add("listed %d at %d".formatted(items.size(), revision));
     }
 
     @Override
-    public void changed(Collection collection, ObjectFeed.Changes changes, boolean afterOutage) {
+    public void changed(Collection collection, ObjectFeed.Changes changes) {
       heard.add("changed " + changes.items().size());
     }
 
--- a/lib/src/main/java/org/cowslipstair/logic/traffic/TrafficKeeper.java
+++ b/lib/src/main/java/org/cowslipstair/logic/traffic/TrafficKeeper.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.cowslipstair.logic.invariant.Invariant;
 import org.cowslipstair.logic.invariant.InvariantMonitor;
+import org.cowslipstair.model.config.BackendName;
 import org.cowslipstair.model.config.ZoneName;
 import org.cowslipstair.model.traffic.BackendInstance;
 import org.cowslipstair.model.traffic.GatewayEntry;
@@ -25,9 +26,6 @@
  * use by many threads.
  */
 public final class TrafficKeeper {
-  /** Time for which an entry that lapsed during an outage of the store may still come back. */
-  public static final long LAPSE_GRACE_NS = 2_000_000_000L;
-
   private final InvariantMonitor monitor;
   private final Map<Collection, Map<String, Item>> items = new HashMap<>();
   private final Map<Collection, Long> revisions = new HashMap<>();
@@ -48,9 +46,13 @@
 
   private record Lapsed(Item item, long untilNs) {}
 
-  /** Takes a whole collection as of one revision; does nothing if a newer one is known. */
+  /**
+   * Takes a whole collection as of one revision; does nothing if a newer one is known.
+   *
+   * @param graceNs time for which backend servers that are missing now may still come back
+   */
   public void replace(
-      Collection collection, List<Item> all, long revision, long nowNs, boolean afterOutage) {
+      Collection collection, List<Item> all, long revision, long nowNs, long graceNs) {
     if (revision < revisions.getOrDefault(collection, 0L)) {
       return;
     }
@@ -62,19 +64,23 @@
     }
     for (String known : List.copyOf(itemsOf(collection).keySet())) {
       if (!names.contains(known)) {
-        remove(collection, known, nowNs, afterOutage);
+        remove(collection, known, nowNs, graceNs);
       }
     }
   }
 
-  /** Takes changes up to a revision; does nothing if what is known is as new. */
-  public void apply(Collection collection, Changes changes, long nowNs, boolean afterOutage) {
+  /**
+   * Takes changes up to a revision; does nothing if what is known is as new.
+   *
+   * @param graceNs time for which backend servers that are deleted may still come back
+   */
+  public void apply(Collection collection, Changes changes, long nowNs, long graceNs) {
     if (changes.revision() <= revisions.getOrDefault(collection, 0L)) {
       return;
     }
     revisions.put(collection, changes.revision());
     changes.items().forEach(item -> put(collection, item));
-    changes.deleted().forEach(name -> remove(collection, name, nowNs, afterOutage));
+    changes.deleted().forEach(name -> remove(collection, name, nowNs, graceNs));
   }
 
   private void put(Collection collection, Item item) {
@@ -114,13 +120,13 @@
     monitor.checkAtMost(Invariant.VERSION_NEVER_FALLS, "configuration", inForce, now);
   }
 
-  private void remove(Collection collection, String name, long nowNs, boolean afterOutage) {
+  private void remove(Collection collection, String name, long nowNs, long graceNs) {
     if (collection == Collection.CONFIGURATION) {
       return;
     }
     Item gone = itemsOf(collection).remove(name);
-    if (gone != null && afterOutage && collection == Collection.BACKENDS) {
-      lapsed.put(name, new Lapsed(gone, nowNs + LAPSE_GRACE_NS));
+    if (gone != null && graceNs > 0 && collection == Collection.BACKENDS) {
+      lapsed.put(name, new Lapsed(gone, nowNs + graceNs));
     }
   }
 
@@ -175,9 +181,11 @@
       }
     }
     lapsed.values().removeIf(entry -> nowNs >= entry.untilNs);
+    Set<BackendName> doubtful = new HashSet<>();
     for (Lapsed entry : lapsed.values()) {
       if (entry.item.content() instanceof Content.Backend(BackendInstance backend)) {
         backends.add(backend);
+        doubtful.add(backend.name());
       }
     }
     Set<ZoneName> zonesOut = new HashSet<>();
@@ -186,6 +194,6 @@
         zonesOut.add(zone);
       }
     }
-    return TrafficState.of(plan.get(), backends, zonesOut);
+    return TrafficState.of(plan.get(), backends, zonesOut, doubtful);
   }
 }
--- a/lib/src/test/java/org/cowslipstair/logic/traffic/TrafficKeeperTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/traffic/TrafficKeeperTest.java
@@ -56,7 +56,7 @@
 
   @BeforeEach
   void start() {
-    keeper.replace(Collection.CONFIGURATION, List.of(plan(1, 5)), 1, 0, false);
+    keeper.replace(Collection.CONFIGURATION, List.of(plan(1, 5)), 1, 0, 0);
   }
 
   private int eligible(long nowNs) {
@@ -69,59 +69,59 @@
 
   @Test
   void olderConfigurationNeverReplacesANewerOne() {
-    keeper.replace(Collection.CONFIGURATION, List.of(plan(9, 8)), 9, 0, false);
-    keeper.replace(Collection.CONFIGURATION, List.of(plan(3, 6)), 3, 0, false);
+    keeper.replace(Collection.CONFIGURATION, List.of(plan(9, 8)), 9, 0, 0);
+    keeper.replace(Collection.CONFIGURATION, List.of(plan(3, 6)), 3, 0, 0);
     assertThat(version(), is(8L));
-    keeper.apply(
-        Collection.CONFIGURATION, new Changes(List.of(plan(10, 7)), Set.of(), 10), 0, false);
+    keeper.apply(Collection.CONFIGURATION, new Changes(List.of(plan(10, 7)), Set.of(), 10), 0, 0);
     assertThat(version(), is(8L));
   }
 
   @Test
   void lateChangesOfASlowerSourceAreLeftOut() {
-    keeper.replace(Collection.BACKENDS, List.of(backend("b", 8, false)), 10, 0, false);
-    keeper.apply(Collection.BACKENDS, new Changes(List.of(), Set.of("b"), 7), 0, false);
+    keeper.replace(Collection.BACKENDS, List.of(backend("b", 8, false)), 10, 0, 0);
+    keeper.apply(Collection.BACKENDS, new Changes(List.of(), Set.of("b"), 7), 0, 0);
     assertThat(eligible(0), is(1));
   }
 
   @Test
   void leavingBackendGetsNothingNew() {
-    keeper.replace(Collection.BACKENDS, List.of(backend("b", 2, false)), 2, 0, false);
+    keeper.replace(Collection.BACKENDS, List.of(backend("b", 2, false)), 2, 0, 0);
     keeper.apply(
-        Collection.BACKENDS, new Changes(List.of(backend("b", 3, true)), Set.of(), 3), 0, false);
+        Collection.BACKENDS, new Changes(List.of(backend("b", 3, true)), Set.of(), 3), 0, 0);
     assertThat(eligible(0), is(0));
   }
 
   @Test
   void zoneOutGetsNothingNewUntilItIsTakenBack() {
-    keeper.replace(Collection.BACKENDS, List.of(backend("b", 2, false)), 2, 0, false);
+    keeper.replace(Collection.BACKENDS, List.of(backend("b", 2, false)), 2, 0, 0);
     Item out = new Item("z", 3, new Content.ZoneOut(ZONE));
-    keeper.apply(Collection.ZONES_OUT, new Changes(List.of(out), Set.of(), 3), 0, false);
+    keeper.apply(Collection.ZONES_OUT, new Changes(List.of(out), Set.of(), 3), 0, 0);
     assertThat(eligible(0), is(0));
-    keeper.apply(Collection.ZONES_OUT, new Changes(List.of(), Set.of("z"), 4), 0, false);
+    keeper.apply(Collection.ZONES_OUT, new Changes(List.of(), Set.of("z"), 4), 0, 0);
     assertThat(eligible(0), is(1));
   }
 
   @Test
   void entryThatLapsedDuringAnOutageHasTwoSecondsToComeBack() {
-    keeper.replace(Collection.BACKENDS, List.of(backend("b", 2, false)), 2, 0, false);
-    keeper.replace(Collection.BACKENDS, List.of(), 5, 0, true);
-    assertThat(eligible(TrafficKeeper.LAPSE_GRACE_NS - 1), is(1));
-    assertThat(eligible(TrafficKeeper.LAPSE_GRACE_NS), is(0));
+    keeper.replace(Collection.BACKENDS, List.of(backend("b", 2, false)), 2, 0, 0);
+    keeper.replace(Collection.BACKENDS, List.of(), 5, 0, OutageMemory.RETURN_NS);
+    assertThat(eligible(OutageMemory.RETURN_NS - 1), is(1));
+    assertThat(keeper.state(0).isDoubtful(new BackendName("b")), is(true));
+    assertThat(eligible(OutageMemory.RETURN_NS), is(0));
   }
 
   @Test
   void entryThatIsDeletedIsGoneAtOnce() {
-    keeper.replace(Collection.BACKENDS, List.of(backend("b", 2, false)), 2, 0, false);
-    keeper.apply(Collection.BACKENDS, new Changes(List.of(), Set.of("b"), 3), 0, false);
+    keeper.replace(Collection.BACKENDS, List.of(backend("b", 2, false)), 2, 0, 0);
+    keeper.apply(Collection.BACKENDS, new Changes(List.of(), Set.of("b"), 3), 0, 0);
     assertThat(eligible(0), is(0));
   }
 
   @Test
   void unreadableEntryNamesNoBackendAndIsReported() {
-    keeper.replace(Collection.BACKENDS, List.of(backend("b", 2, false)), 2, 0, false);
+    keeper.replace(Collection.BACKENDS, List.of(backend("b", 2, false)), 2, 0, 0);
     Item broken = new Item("b", 3, new Content.Unreadable("field \"slots\" is x"));
-    keeper.apply(Collection.BACKENDS, new Changes(List.of(broken), Set.of(), 3), 0, false);
+    keeper.apply(Collection.BACKENDS, new Changes(List.of(broken), Set.of(), 3), 0, 0);
     assertThat(eligible(0), is(0));
     assertThat(keeper.takeFaults(), hasSize(1));
     assertThat(keeper.takeFaults(), empty());
@@ -130,26 +130,26 @@
   @Test
   void unreadableConfigurationLeavesTheLastOneInForce() {
     Item broken = new Item("main", 3, new Content.Unreadable("field \"kind\" is x"));
-    keeper.apply(Collection.CONFIGURATION, new Changes(List.of(broken), Set.of(), 3), 0, false);
+    keeper.apply(Collection.CONFIGURATION, new Changes(List.of(broken), Set.of(), 3), 0, 0);
     assertThat(version(), is(5L));
   }
 
   @Test
   void replayedReportOfALeavingBackendIsLeftOut() {
-    keeper.replace(Collection.BACKENDS, List.of(backend("b", 2, true, 50, 9)), 2, 0, false);
+    keeper.replace(Collection.BACKENDS, List.of(backend("b", 2, true, 50, 9)), 2, 0, 0);
     Item replayed = backend("b", 3, false, 50, 8);
-    keeper.apply(Collection.BACKENDS, new Changes(List.of(replayed), Set.of(), 3), 0, false);
+    keeper.apply(Collection.BACKENDS, new Changes(List.of(replayed), Set.of(), 3), 0, 0);
     assertThat(eligible(0), is(0));
     Item earlierLife = backend("b", 4, false, 40, 99);
-    keeper.apply(Collection.BACKENDS, new Changes(List.of(earlierLife), Set.of(), 4), 0, false);
+    keeper.apply(Collection.BACKENDS, new Changes(List.of(earlierLife), Set.of(), 4), 0, 0);
     assertThat(eligible(0), is(0));
   }
 
   @Test
   void newLifeOfTheSameNameIsTaken() {
-    keeper.replace(Collection.BACKENDS, List.of(backend("b", 2, true, 50, 9)), 2, 0, false);
+    keeper.replace(Collection.BACKENDS, List.of(backend("b", 2, true, 50, 9)), 2, 0, 0);
     Item reborn = backend("b", 3, false, 60, 1);
-    keeper.apply(Collection.BACKENDS, new Changes(List.of(reborn), Set.of(), 3), 0, false);
+    keeper.apply(Collection.BACKENDS, new Changes(List.of(reborn), Set.of(), 3), 0, 0);
     assertThat(eligible(0), is(1));
   }
 }
