--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
@@ -108,7 +108,8 @@
             targetNs,
             Math.max(offerNs, nowNs),
             endNs,
-            isHedge);
+            isHedge,
+            message.body().readableBytes());
     Placement started =
         new Placement(
             context,
