--- a/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
+++ b/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
@@ -38,7 +38,7 @@
   private static final long STOP_NOTICE_MS = 3_200;
 
   /** Time kept at the end of a planned stop. */
-  private static final long STOP_MARGIN_MS = 400;
+  private static final long STOP_MARGIN_MS = 700;
 
   private static final long STOP_POLL_MS = 50;
   private static final long NS_PER_MS = 1_000_000L;
