--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
@@ -108,8 +108,7 @@
             targetNs,
             Math.max(offerNs, nowNs),
             endNs,
-            isHedge,
-            message.body().readableBytes());
+            isHedge);
     Placement started =
         new Placement(
             context,
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Placement.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Placement.java
@@ -63,7 +63,6 @@
    * @param giveUpNs monotonic time after which no more candidates are asked
    * @param endNs monotonic time at which the caller is answered anyway
    * @param isHedge whether only a good choice is wanted
-   * @param bodyBytes size of the request's body
    */
   record Request(
       ServiceName service,
@@ -72,8 +71,7 @@
       long targetNs,
       long giveUpNs,
       long endNs,
-      boolean isHedge,
-      long bodyBytes) {}
+      boolean isHedge) {}
 
   /** A choice. */
   record Chosen(
@@ -129,7 +127,6 @@
             List.copyOf(eligible.keySet()),
             request.excluded(),
             record -> entryOf(eligible, record).hasIdle(),
-            request.bodyBytes(),
             context.nowNs())
         .forEach(record -> ordered.add(entryOf(eligible, record)));
     ordered.removeIf(entry -> !mayUse(entry));
--- a/lib/src/main/java/org/cowslipstair/logic/placement/CandidateOrder.java
+++ b/lib/src/main/java/org/cowslipstair/logic/placement/CandidateOrder.java
@@ -20,9 +20,6 @@
   /** Backend servers of one zone that a gateway asks before it turns to others. */
   private static final int SUBSET_SIZE = 6;
 
-  /** Largest body that may go to another zone to save a new connection. */
-  private static final long SMALL_BODY_BYTES = 8 * 1024;
-
   private final String self;
   private final ZoneName zone;
   private final RandomGenerator random;
@@ -39,13 +36,11 @@
    *
    * @param excluded backend servers that must not be chosen
    * @param connected whether there is an idle connection to a backend server
-   * @param bodyBytes size of the request's body, which costs money between zones
    */
   public List<BackendRecord> order(
       List<BackendRecord> records,
       Set<BackendName> excluded,
       Predicate<BackendRecord> connected,
-      long bodyBytes,
       long nowNs) {
     List<Ranked> local = new ArrayList<>();
     List<Ranked> far = new ArrayList<>();
@@ -63,9 +58,6 @@
     List<BackendRecord> ordered = new ArrayList<>();
     addShuffled(local.subList(0, near), ordered);
     addShuffled(far, ordered);
-    if (bodyBytes <= SMALL_BODY_BYTES) {
-      ordered.sort(Comparator.comparing(record -> !connected.test(record)));
-    }
     return ordered;
   }
 
