--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Placement.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Placement.java
@@ -26,7 +26,7 @@
  */
 final class Placement {
   /** Candidates asked in each round; the last is repeated. */
-  private static final int[] ROUND_SIZES = {2, 2, 4};
+  private static final int[] ROUND_SIZES = {1, 2, 4};
 
   /** Most candidates asked for one send. */
   private static final int MAX_PROBES = 10;
--- a/lib/src/main/java/org/cowslipstair/logic/placement/CandidateOrder.java
+++ b/lib/src/main/java/org/cowslipstair/logic/placement/CandidateOrder.java
@@ -13,13 +13,17 @@
 
 /**
  * In which order the backend servers of a service are asked for their load: a subset of those in
- * the own zone, drawn by hash, then the others; of each, those with an idle connection first, as
- * opening one costs time and a slot at the backend server.
+ * the own zone, drawn by hash, then the others. Within each, the order is random but favours those
+ * with an idle connection, as opening one costs time and a slot at the backend server; the others
+ * still come first at times, so that one that has just joined gets its part.
  */
 public final class CandidateOrder {
   /** Backend servers of one zone that a gateway asks before it turns to others. */
   private static final int SUBSET_SIZE = 6;
 
+  /** Added to a draw between 0 and 1 where a connection would have to be opened. */
+  private static final double UNCONNECTED_HANDICAP = 0.5;
+
   private final String self;
   private final ZoneName zone;
   private final RandomGenerator random;
@@ -49,7 +53,7 @@
         continue;
       }
       boolean isLocal = record.instance().zone().equals(zone);
-      Ranked ranked = new Ranked(record, !connected.test(record), hash(record), random.nextInt());
+      Ranked ranked = new Ranked(record, hash(record), draw(connected.test(record)));
       (isLocal ? local : far).add(ranked);
     }
     local.sort(Comparator.comparingInt(Ranked::hash));
@@ -63,14 +67,18 @@
 
   private static void addShuffled(List<Ranked> from, List<BackendRecord> to) {
     from.stream()
-        .sorted(Comparator.comparing(Ranked::unconnected).thenComparing(Ranked::draw))
+        .sorted(Comparator.comparingDouble(Ranked::draw))
         .forEach(ranked -> to.add(ranked.record));
   }
 
+  private double draw(boolean isConnected) {
+    return random.nextDouble() + (isConnected ? 0 : UNCONNECTED_HANDICAP);
+  }
+
   private int hash(BackendRecord record) {
     String key = self + "/" + record.instance().name().value();
     return Hashing.murmur3_32_fixed().hashString(key, StandardCharsets.UTF_8).asInt();
   }
 
-  private record Ranked(BackendRecord record, boolean unconnected, int hash, int draw) {}
+  private record Ranked(BackendRecord record, int hash, double draw) {}
 }
