--- a/edge/src/main/java/org/cowslipstair/edge/relay/RelayLink.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/RelayLink.java
@@ -96,6 +96,11 @@
     return proven && !closed;
   }
 
+  /** Returns whether the peer has ever proved its contact with the store. */
+  boolean wasProven() {
+    return proven;
+  }
+
   boolean isClosed() {
     return closed;
   }
--- a/edge/src/main/java/org/cowslipstair/edge/relay/RelaySubscriptions.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/RelaySubscriptions.java
@@ -26,6 +26,12 @@
   /** Time after which subscriptions to seeds end; by then the fleet is known. */
   private static final long SEED_NS = 4_000_000_000L;
 
+  /**
+   * Time for which a watcher that never proved contact is tried again; a machine with a third of a
+   * core takes about two seconds to start.
+   */
+  private static final long PATIENCE_NS = 2_000_000_000L;
+
   private final FrontSettings settings;
   private final EventLoop loop;
   private final MonotonicClock clock;
@@ -33,6 +39,7 @@
   private final WatcherRoles roles;
   private final Map<String, RelayLink> links = new HashMap<>();
   private final List<RelayLink> seeds = new ArrayList<>();
+  private final Map<String, Long> triedSinceNs = new HashMap<>();
   private final long startedNs;
   private boolean fresh;
   private long freshSinceNs;
@@ -80,6 +87,7 @@
       if (!isWatcher && isOther && !links.containsKey(watcher.name())) {
         RelayLink link = new RelayLink(watcher, clock, consumer::accept);
         links.put(watcher.name(), link);
+        triedSinceNs.putIfAbsent(watcher.name(), nowNs);
         link.open(loop);
       }
     }
@@ -105,12 +113,22 @@
               boolean stale = link.isClosed() || link.ageMs() > FRESH_MS;
               if (stale) {
                 link.close();
-                roles.unreachable(link.peer().name(), nowNs);
+                dropped(link, nowNs);
               }
               return stale;
             });
   }
 
+  /** Passes a watcher over at once if it fell silent, and after some patience if it never spoke. */
+  private void dropped(RelayLink link, long nowNs) {
+    String name = link.peer().name();
+    long sinceNs = triedSinceNs.getOrDefault(name, nowNs);
+    if (link.wasProven() || nowNs - sinceNs > PATIENCE_NS) {
+      roles.unreachable(name, nowNs);
+      triedSinceNs.remove(name);
+    }
+  }
+
   private void updateFresh(long nowNs) {
     boolean now =
         links.values().stream().anyMatch(link -> link.isProven() && link.ageMs() <= FRESH_MS);
--- a/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
@@ -40,11 +40,14 @@
   private static final long FLEET_GRACE_MS = 3_000;
 
   /** Time from the first look at the fleet after which a gateway without proof watches itself. */
-  private static final long PROOF_GRACE_MS = 1_500;
+  private static final long PROOF_GRACE_MS = 2_200;
 
   /** Pauses before the gateways are looked up again; the last is repeated. */
   private static final long[] LOOK_UP_MS = {1_500, 3_000, 6_000, 15_000};
 
+  /** Time from the start after which a gateway that nobody supplies takes one stale look. */
+  private static final long GLANCE_MS = 600;
+
   private static final long ANNOUNCE_AGAIN_MS = 2_000;
   private static final long NS_PER_MS = 1_000_000L;
 
@@ -66,6 +69,7 @@
   private boolean asking;
   private int lookUps;
   private boolean lookedUp;
+  private boolean announced;
 
   /**
    * Creates a synchronizer.
@@ -99,9 +103,11 @@
     loop.execute(
         () -> {
           subscriptions.openSeeds();
-          announce();
           lookUp();
           check();
+          if (!settings.relay().firstStart()) {
+            later(this::glance, GLANCE_MS);
+          }
         });
   }
 
@@ -134,9 +140,45 @@
             page -> {
               lookedUp = true;
               listed(Collection.GATEWAYS, page.items(), page.revision());
+              announceIfUnknown();
               decide();
             },
-            cause -> LOG.warnf("fleet: reading the gateways failed: %s", cause.getMessage()));
+            cause -> {
+              LOG.warnf("fleet: reading the gateways failed: %s", cause.getMessage());
+              announceIfUnknown();
+            });
+  }
+
+  /** Announces this gateway unless the store lists it as it is; a restart changes nothing. */
+  private void announceIfUnknown() {
+    if (!announced && !keeper.gateways().contains(self)) {
+      announced = true;
+      announce();
+    }
+  }
+
+  /** Lists once what may be seconds old, so as to serve while the watchers still start. */
+  private void glance() {
+    for (Collection collection : WATCHED) {
+      if (followers.isEmpty() && keeper.revision(collection) == 0) {
+        parts
+            .feed()
+            .list(collection, Optional.empty(), Freshness.CACHED)
+            .observeOn(scheduler)
+            .subscribe(
+                page -> glanced(collection, page),
+                cause ->
+                    LOG.warnf(
+                        "store: a first look at %s failed: %s", collection, cause.getMessage()));
+      }
+    }
+  }
+
+  private void glanced(Collection collection, ObjectFeed.Page page) {
+    if (!page.hasMore() && keeper.revision(collection) == 0) {
+      keeper.replace(collection, page.items(), page.revision(), parts.clock().nowNs(), 0);
+      onChange.run();
+    }
   }
 
   private void check() {
