Remove state and methods that nothing reads

Found on a last read of the whole change: BackendRecord kept the last load report that only the placement itself uses, ColdAllowance.forget and BodyMemory.usedBytes had no caller.

--- a/edge/src/main/java/org/cowslipstair/edge/backend/Prober.java
+++ b/edge/src/main/java/org/cowslipstair/edge/backend/Prober.java
@@ -120,7 +120,6 @@
         return;
       }
       report = LoadHeader.parse(head.headers().get(headers.load()));
-      report.ifPresent(load -> entry.record().reported(load, nowNs));
       boolean healthy = head.status().code() == HttpResponseStatus.OK.code();
       entry.record().probed(healthy, nowNs + coldMs(head) * NS_PER_MS);
     }
--- a/edge/src/main/java/org/cowslipstair/edge/caller/BodyMemory.java
+++ b/edge/src/main/java/org/cowslipstair/edge/caller/BodyMemory.java
@@ -23,9 +23,4 @@
   void giveBack(long bytes) {
     usedBytes -= bytes;
   }
-
-  /** Returns the bytes in use. */
-  long usedBytes() {
-    return usedBytes;
-  }
 }
--- a/lib/src/main/java/org/cowslipstair/logic/budget/ColdAllowance.java
+++ b/lib/src/main/java/org/cowslipstair/logic/budget/ColdAllowance.java
@@ -68,11 +68,6 @@
     }
   }
 
-  /** Forgets a backend server. */
-  public void forget(BackendName backend) {
-    sentAtNs.remove(backend);
-  }
-
   private int rankOfSelf(BackendName backend, Collection<String> gateways) {
     long own = weight(backend, self);
     int rank = 0;
--- a/lib/src/main/java/org/cowslipstair/logic/placement/BackendRecord.java
+++ b/lib/src/main/java/org/cowslipstair/logic/placement/BackendRecord.java
@@ -1,12 +1,10 @@
 package org.cowslipstair.logic.placement;
 
 import org.cowslipstair.model.traffic.BackendInstance;
-import org.cowslipstair.model.traffic.LoadReport;
-import org.jspecify.annotations.Nullable;
 
 /**
- * What this gateway has seen of one backend instance: its last report, the requests it has from
- * here, and how it has failed. Not safe for use by many threads.
+ * What this gateway has seen of one backend instance: the requests it has from here, whether it is
+ * healthy and cold, and how it has failed. Not safe for use by many threads.
  */
 public final class BackendRecord {
   /** Weight of the newest outcome in the failure average; about the last six outcomes count. */
@@ -21,8 +19,6 @@
   private static final long LONGEST_PAUSE_NS = 2_000_000_000L;
 
   private BackendInstance instance;
-  private @Nullable LoadReport report;
-  private long reportedAtNs;
   private int inFlight;
   private double failureAverage;
   private long failedAtNs;
@@ -37,7 +33,6 @@
     this.coldUntilNs = instance.coldUntilNs();
     this.pausedUntilNs = nowNs;
     this.failedAtNs = nowNs;
-    this.reportedAtNs = nowNs;
   }
 
   /** Returns the backend instance. */
@@ -53,12 +48,6 @@
     instance = newer;
   }
 
-  /** Takes a report. */
-  public void reported(LoadReport newest, long nowNs) {
-    report = newest;
-    reportedAtNs = nowNs;
-  }
-
   /**
    * Takes the answer to a probe.
    *
@@ -115,16 +104,6 @@
     return failureAverage * Math.pow(0.5, (nowNs - failedAtNs) / FAILURE_HALF_LIFE_NS);
   }
 
-  /** Returns the last report, or null if there was none. */
-  public @Nullable LoadReport report() {
-    return report;
-  }
-
-  /** Returns the monotonic time of the last report. */
-  public long reportedAtNs() {
-    return reportedAtNs;
-  }
-
   /** Returns the requests sent from here that have not ended. */
   public int inFlight() {
     return inFlight;
