--- a/edge/src/main/java/org/cowslipstair/edge/backend/Prober.java
+++ b/edge/src/main/java/org/cowslipstair/edge/backend/Prober.java
@@ -122,6 +122,7 @@
       report = LoadHeader.parse(head.headers().get(headers.load()));
       boolean healthy = head.status().code() == HttpResponseStatus.OK.code();
       entry.record().probed(healthy, nowNs + coldMs(head) * NS_PER_MS);
+      report.ifPresent(load -> entry.record().reported(load, nowNs));
     }
 
     private long coldMs(HttpResponse head) {
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Placement.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Placement.java
@@ -215,7 +215,7 @@
     Estimate estimate =
         report
             .map(load -> Estimate.of(load, entry.record(), nowNs))
-            .orElseGet(() -> Estimate.blind(entry.record(), nowNs));
+            .orElseGet(() -> Estimate.unasked(entry.record(), nowNs));
     Option option = new Option(entry, Optional.of(connection), report, estimate);
     options.add(option);
     if (estimate.free() && estimate.rank() <= GOOD_TOTAL) {
@@ -227,7 +227,7 @@
 
   private void failed(BackendEntry entry, Prober.ProbeFailure failure) {
     if (!done && failure == Prober.ProbeFailure.OVER_BUDGET && mayUse(entry)) {
-      Estimate estimate = Estimate.blind(entry.record(), context.nowNs());
+      Estimate estimate = Estimate.unasked(entry.record(), context.nowNs());
       options.add(new Option(entry, Optional.empty(), Optional.empty(), estimate));
     }
     afterAnswer();
--- a/lib/src/main/java/org/cowslipstair/logic/budget/ProbeAllowance.java
+++ b/lib/src/main/java/org/cowslipstair/logic/budget/ProbeAllowance.java
@@ -6,13 +6,19 @@
 /**
  * Token bucket over the probes that this gateway sends to all backend servers together.
  *
- * <p>The fleet's budget is a rate for each backend server; a gateway uses its part of half of it.
+ * <p>The fleet's budget is a rate for each backend server over a day; a gateway uses its part of
+ * half of it. It begins with a stock, as a gateway that has just started knows no load and gets the
+ * requests that waited for it; a process that lives longer than the stock lasts stays within the
+ * rate.
  */
 public final class ProbeAllowance {
   private static final double USED_PART = 0.5;
   private static final double NS_PER_SECOND = 1e9;
   private static final double BURST_SECONDS = 5;
 
+  /** Seconds of its part with which a gateway begins. */
+  private static final double START_SECONDS = 2;
+
   private final double perBackendPerSecond;
   private final InvariantMonitor monitor;
   private final long createdAtNs;
@@ -21,6 +27,7 @@
   private double tokens;
   private long filledAtNs;
   private long taken;
+  private boolean begun;
 
   /**
    * Creates a budget.
@@ -42,6 +49,10 @@
 
   /** Takes a token if there is one. */
   public boolean tryTake(long nowNs) {
+    if (!begun) {
+      begun = true;
+      tokens = START_SECONDS * perSecond;
+    }
     double capacity = perSecond * BURST_SECONDS;
     tokens = Math.min(capacity, tokens + (nowNs - filledAtNs) / NS_PER_SECOND * perSecond);
     filledAtNs = nowNs;
@@ -50,7 +61,7 @@
     }
     tokens -= 1;
     taken++;
-    double seconds = (nowNs - createdAtNs) / NS_PER_SECOND;
+    double seconds = START_SECONDS + (nowNs - createdAtNs) / NS_PER_SECOND;
     monitor.checkAtMost(
         Invariant.PROBE_BUDGET, "all", taken, (long) Math.ceil(seconds * maxPerSecond));
     return true;
--- a/lib/src/main/java/org/cowslipstair/logic/placement/BackendRecord.java
+++ b/lib/src/main/java/org/cowslipstair/logic/placement/BackendRecord.java
@@ -1,6 +1,8 @@
 package org.cowslipstair.logic.placement;
 
+import java.util.Optional;
 import org.cowslipstair.model.traffic.BackendInstance;
+import org.cowslipstair.model.traffic.LoadReport;
 
 /**
  * What this gateway has seen of one backend instance: the requests it has from here, whether it is
@@ -16,6 +18,9 @@
   /** First pause after a failed connection; doubles up to the longest. */
   private static final long FIRST_PAUSE_NS = 250_000_000L;
 
+  /** Age up to which a report tells more than own counts; about the time of one request. */
+  private static final long RECENT_REPORT_NS = 200_000_000L;
+
   private static final long LONGEST_PAUSE_NS = 2_000_000_000L;
 
   private BackendInstance instance;
@@ -26,6 +31,9 @@
   private long pausedUntilNs;
   private long coldUntilNs;
   private boolean healthy = true;
+  private Optional<LoadReport> report = Optional.empty();
+  private long reportedNs;
+  private int startedSince;
 
   /** Creates a record. */
   public BackendRecord(BackendInstance instance, long nowNs) {
@@ -60,9 +68,27 @@
     unreachable = 0;
   }
 
+  /** Takes a load report. */
+  public void reported(LoadReport newReport, long nowNs) {
+    report = Optional.of(newReport);
+    reportedNs = nowNs;
+    startedSince = 0;
+  }
+
+  /** Returns the last load report with the requests sent from here since, if it is recent. */
+  public Optional<LoadReport> recentReport(long nowNs) {
+    return report
+        .filter(_ -> nowNs - reportedNs <= RECENT_REPORT_NS)
+        .map(
+            last ->
+                new LoadReport(
+                    last.running() + startedSince, last.waiting(), last.slots(), last.pace()));
+  }
+
   /** Counts a request sent from here. */
   public void started() {
     inFlight++;
+    startedSince++;
   }
 
   /** Counts the end of a request sent from here. */
--- a/lib/src/main/java/org/cowslipstair/logic/placement/Estimate.java
+++ b/lib/src/main/java/org/cowslipstair/logic/placement/Estimate.java
@@ -55,8 +55,15 @@
     return new Estimate(work, queueing, distrust(record, nowNs), free, load.waiting() < slots);
   }
 
-  /** Estimates for a backend server that tells no load, from what this gateway knows itself. */
-  public static Estimate blind(BackendRecord record, long nowNs) {
+  /** Estimates for a backend server that is not asked, from what this gateway knows of it. */
+  public static Estimate unasked(BackendRecord record, long nowNs) {
+    return record
+        .recentReport(nowNs)
+        .map(report -> of(report, record, nowNs))
+        .orElseGet(() -> fromOwnCounts(record, nowNs));
+  }
+
+  private static Estimate fromOwnCounts(BackendRecord record, long nowNs) {
     int slots = Math.max(1, record.instance().slots());
     boolean free = record.inFlight() < slots;
     double queueing = free ? 0.5 * record.inFlight() : 1.0 + record.inFlight() - slots;
--- a/lib/src/test/java/org/cowslipstair/logic/budget/FleetBudgetsTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/budget/FleetBudgetsTest.java
@@ -112,6 +112,31 @@
     assertThat(taken, greaterThan(0L));
   }
 
+  @Test
+  void gatewayThatHasJustStartedMayProbeAtOnce() {
+    ProbeAllowance allowance = new ProbeAllowance(60, InvariantMonitor.failing(), 0);
+    allowance.share(36, 19);
+    int taken = 0;
+    while (allowance.tryTake(0)) {
+      taken++;
+    }
+    double part = 0.5 * 60 * 36 / 19;
+    assertThat((double) taken, closeTo(2 * part, 1));
+  }
+
+  @Test
+  void gatewaysThatRestartEachTwoSecondsKeepTheRate() {
+    long taken = 0;
+    for (int life = 0; life < 10; life++) {
+      ProbeAllowance allowance = new ProbeAllowance(60, InvariantMonitor.failing(), 0);
+      allowance.share(36, 19);
+      for (long nowNs = 0; nowNs < 2 * SECOND_NS; nowNs += NS_PER_MS) {
+        taken += allowance.tryTake(nowNs) ? 1 : 0;
+      }
+    }
+    assertThat((double) taken * 19, lessThanOrEqualTo(60.0 * 36 * 20));
+  }
+
   @Property(seed = "5503", tries = 100)
   void splitKeepsItsWeightsOverManyGateways(@ForAll long seed) {
     ServiceName small = new ServiceName("small");
--- a/lib/src/test/java/org/cowslipstair/logic/placement/PlacementRulesTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/placement/PlacementRulesTest.java
@@ -56,6 +56,19 @@
     assertThat(estimate(record, 3, 3, 1).room(), is(false));
   }
 
+  @Test
+  void backendThatIsNotAskedIsJudgedByItsLastReportWhileThatIsRecent() {
+    BackendRecord record = record("b", HOME.value());
+    record.reported(new LoadReport(2, 0, 3, 1), SECOND_NS);
+    long soonNs = SECOND_NS + SECOND_NS / 10;
+    assertThat(Estimate.unasked(record, soonNs).free(), is(true));
+    record.started();
+    assertThat(Estimate.unasked(record, soonNs).free(), is(false));
+    record.reported(new LoadReport(3, 4, 3, 1), soonNs);
+    assertThat(Estimate.unasked(record, soonNs).room(), is(false));
+    assertThat(Estimate.unasked(record, soonNs + SECOND_NS).room(), is(true));
+  }
+
   @Test
   void failuresLowerTheRankAndNotTheTimeAndFade() {
     BackendRecord record = record("b", HOME.value());
