--- a/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
+++ b/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
@@ -1,6 +1,7 @@
 package org.cowslipstair.edge;
 
 import io.netty.channel.EventLoop;
+import java.nio.channels.ServerSocketChannel;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -40,6 +41,9 @@
   /** Time kept at the end of a planned stop. */
   private static final long STOP_MARGIN_MS = 700;
 
+  /** Longest time that callers wait for the configuration; without it they are refused then. */
+  private static final long START_HOLD_MS = 300;
+
   private static final long STOP_POLL_MS = 50;
   private static final long NS_PER_MS = 1_000_000L;
 
@@ -51,6 +55,7 @@
   private final CallerContext callers;
   private final StateSync sync;
   private List<String> gateways = List.of();
+  private volatile CallerServer server;
   private volatile boolean complete;
   private volatile boolean stopping;
 
@@ -92,16 +97,21 @@
             settings.bounds().memoryBytes() / BODY_MEMORY_DIVISOR);
   }
 
-  /** Starts a gateway; it is ready once it has read the configuration. */
-  public static FrontGateway start(FrontSettings settings, GatewayParts parts, GatewayLog log)
+  /**
+   * Starts a gateway; it is ready once it has read the configuration.
+   *
+   * @param socket open address for callers
+   */
+  public static FrontGateway start(
+      FrontSettings settings, GatewayParts parts, GatewayLog log, ServerSocketChannel socket)
       throws InterruptedException {
     FrontGateway gateway = new FrontGateway(settings, parts, log);
-    gateway.listen(log);
+    gateway.listen(log, socket);
     gateway.sync.start();
     return gateway;
   }
 
-  private void listen(GatewayLog log) throws InterruptedException {
+  private void listen(GatewayLog log, ServerSocketChannel socket) throws InterruptedException {
     EventLoop loop = parts.loop();
     ReadyServer.open(
         loop,
@@ -109,11 +119,10 @@
         Map.of(
             "/readyz", () -> new ReadyServer.Page(isReady(), ""),
             "/metrics", () -> new ReadyServer.Page(true, log.metrics())));
-    server = CallerServer.open(loop, settings.callerAddress(), callers);
+    server = CallerServer.open(loop, socket, callers);
+    loop.schedule(server::accept, START_HOLD_MS, TimeUnit.MILLISECONDS);
   }
 
-  private volatile CallerServer server;
-
   private void refresh() {
     for (TrafficKeeper.Fault fault : keeper.takeFaults()) {
       LOG.warnf(
@@ -126,6 +135,7 @@
     probes.share(Math.max(1, state.backends().size()), gateways.size());
     if (!complete && keeper.isComplete()) {
       complete = true;
+      server.accept();
       LOG.infof("gateway: ready with configuration %d", state.plan().get().version());
     }
   }
--- a/edge/src/main/java/org/cowslipstair/edge/caller/CallerServer.java
+++ b/edge/src/main/java/org/cowslipstair/edge/caller/CallerServer.java
@@ -10,7 +10,10 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.ServerSocketChannel;
 import org.cowslipstair.model.config.HostPort;
 
 /** Accepts callers. */
@@ -23,15 +26,26 @@
     this.channel = channel;
   }
 
-  /** Starts to accept. */
-  public static CallerServer open(EventLoop loop, HostPort address, CallerContext shared)
-      throws InterruptedException {
+  /**
+   * Opens the address for callers. Connections wait in the queue of the operating system until
+   * {@link #accept}, so that callers that come while a process starts are not turned away.
+   */
+  public static ServerSocketChannel listen(HostPort address) throws IOException {
+    ServerSocketChannel socket = ServerSocketChannel.open();
+    socket.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+    socket.bind(new InetSocketAddress(address.host(), address.port()), BACKLOG);
+    return socket;
+  }
+
+  /** Takes an open address over without accepting yet. */
+  public static CallerServer open(
+      EventLoop loop, ServerSocketChannel socket, CallerContext shared) {
     ServerBootstrap bootstrap =
         new ServerBootstrap()
             .group(loop)
-            .channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_BACKLOG, BACKLOG)
-            .option(ChannelOption.SO_REUSEADDR, true)
+            .channelFactory(() -> new NioServerSocketChannel(socket))
+            .option(ChannelOption.AUTO_READ, false)
+            .childOption(ChannelOption.AUTO_READ, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.SO_KEEPALIVE, true)
             .childHandler(
@@ -48,8 +62,12 @@
                             connection);
                   }
                 });
-    InetSocketAddress local = new InetSocketAddress(address.host(), address.port());
-    return new CallerServer(bootstrap.bind(local).sync().channel());
+    return new CallerServer(bootstrap.register().syncUninterruptibly().channel());
+  }
+
+  /** Starts to accept. */
+  public void accept() {
+    channel.config().setAutoRead(true);
   }
 
   /** Returns the port in use. */
--- a/edge/src/test/java/org/cowslipstair/edge/EdgeRig.java
+++ b/edge/src/test/java/org/cowslipstair/edge/EdgeRig.java
@@ -6,11 +6,14 @@
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Single;
 import java.io.IOException;
+import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntConsumer;
+import org.cowslipstair.edge.caller.CallerServer;
 import org.cowslipstair.edge.log.GatewayLog;
 import org.cowslipstair.edge.log.GatewayMetrics;
 import org.cowslipstair.logic.invariant.InvariantMonitor;
@@ -53,10 +56,26 @@
   final List<ScriptedBackend> backends = new ArrayList<>();
   final List<Violation> violations = new ArrayList<>();
   final FrontGateway gateway;
+  private final boolean configured;
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
   EdgeRig(int backendCount) throws IOException, InterruptedException {
+    this(backendCount, true, _ -> {});
+    while (!gateway.isReady()) {
+      TimeUnit.MILLISECONDS.sleep(1);
+    }
+  }
+
+  /**
+   * Starts a gateway.
+   *
+   * @param configured whether the store has a configuration
+   * @param beforeStart gets the port for callers while nobody accepts there yet
+   */
+  EdgeRig(int backendCount, boolean configured, IntConsumer beforeStart)
+      throws IOException, InterruptedException {
+    this.configured = configured;
     for (int i = 0; i < backendCount; i++) {
       backends.add(new ScriptedBackend("b-" + i));
     }
@@ -73,6 +92,8 @@
             5,
             new FrontSettings.FleetBounds(10_000, 3_000, 400L << 20, 50));
     EventLoop loop = group.next();
+    ServerSocketChannel socket = CallerServer.listen(new HostPort("127.0.0.1", 0));
+    beforeStart.accept(socket.socket().getLocalPort());
     gateway =
         FrontGateway.start(
             settings,
@@ -83,10 +104,8 @@
                 new StaticFeed(),
                 HEADERS,
                 new InvariantMonitor(violations::add)),
-            new GatewayLog("g", new GatewayMetrics(), MonotonicClock.system()));
-    while (!gateway.isReady()) {
-      TimeUnit.MILLISECONDS.sleep(1);
-    }
+            new GatewayLog("g", new GatewayMetrics(), MonotonicClock.system()),
+            socket);
   }
 
   ScriptedBackend backend() {
@@ -137,7 +156,8 @@
     public Single<Page> list(Collection collection, Optional<String> after, Freshness freshness) {
       List<Item> items =
           switch (collection) {
-            case CONFIGURATION -> List.of(new Item("main", 1, new Content.Plan(plan())));
+            case CONFIGURATION ->
+                configured ? List.of(new Item("main", 1, new Content.Plan(plan()))) : List.of();
             case BACKENDS ->
                 backends.stream()
                     .map(backend -> new Item(backend.id, 1, instance(backend)))
