Show budgets, store calls and the state in force of an event-loop gateway

Gauges are made when the metrics are first read. ColdAllowance forgets servers sent to long ago. Tests: PagesTest.

--- a/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
+++ b/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
@@ -11,8 +11,11 @@
 import org.cowslipstair.edge.caller.CallerServer;
 import org.cowslipstair.edge.exchange.ExchangeContext;
 import org.cowslipstair.edge.http.ServerConnector;
+import org.cowslipstair.edge.log.BoundedAppender;
 import org.cowslipstair.edge.log.GatewayLog;
+import org.cowslipstair.edge.log.GatewayMetrics;
 import org.cowslipstair.edge.relay.StateSync;
+import org.cowslipstair.edge.sync.CountingFeed;
 import org.cowslipstair.logic.budget.ColdAllowance;
 import org.cowslipstair.logic.budget.ProbeAllowance;
 import org.cowslipstair.logic.invariant.Invariant;
@@ -20,6 +23,8 @@
 import org.cowslipstair.logic.traffic.TrafficKeeper;
 import org.cowslipstair.model.traffic.GatewayEntry;
 import org.cowslipstair.model.traffic.TrafficState;
+import org.cowslipstair.port.ObjectFeed;
+import org.cowslipstair.port.ObjectFeed.Collection;
 import org.jboss.logging.Logger;
 
 /**
@@ -54,8 +59,11 @@
   private final ProbeAllowance probes;
   private final CallerContext callers;
   private final StateSync sync;
+  private final ColdAllowance cold;
   private List<String> gateways = List.of();
+  private boolean showsGauges;
   private volatile CallerServer server;
+  private volatile ReadyServer pages;
   private volatile boolean complete;
   private volatile boolean stopping;
 
@@ -63,7 +71,8 @@
     this.settings = settings;
     this.parts = parts;
     this.keeper = new TrafficKeeper(parts.monitor());
-    this.sync = new StateSync(settings, parts, keeper, this::refresh);
+    ObjectFeed feed = new CountingFeed(parts.feed(), log.metrics());
+    this.sync = new StateSync(settings, parts.with(feed), keeper, this::refresh);
     ServerConnector connector =
         new ServerConnector(parts.loop(), parts.headers().requestId(), CONNECT_TIMEOUT_MS);
     this.table = new BackendTable(connector, parts.clock());
@@ -71,6 +80,7 @@
         new ProbeAllowance(
             settings.bounds().probesPerSecond(), parts.monitor(), parts.clock().nowNs());
     Prober prober = new Prober(parts.loop(), table, parts.headers(), probes, parts.clock());
+    this.cold = new ColdAllowance(settings.name(), parts.monitor());
     ExchangeContext exchanges =
         new ExchangeContext(
             new ExchangeContext.Parts(
@@ -83,7 +93,7 @@
                 prober,
                 new ExchangeContext.Fleet(
                     () -> gateways,
-                    new ColdAllowance(settings.name(), parts.monitor()),
+                    cold,
                     new CandidateOrder(settings.name(), settings.zone(), parts.random()),
                     parts.monitor()),
                 log));
@@ -113,16 +123,51 @@
 
   private void listen(GatewayLog log, ServerSocketChannel socket) throws InterruptedException {
     EventLoop loop = parts.loop();
-    ReadyServer.open(
-        loop,
-        settings.readyAddress(),
-        Map.of(
-            "/readyz", () -> new ReadyServer.Page(isReady(), ""),
-            "/metrics", () -> new ReadyServer.Page(true, log.metrics())));
+    pages =
+        ReadyServer.open(
+            loop,
+            settings.readyAddress(),
+            Map.of(
+                "/readyz", () -> new ReadyServer.Page(isReady(), ""),
+                "/metrics", () -> new ReadyServer.Page(true, metrics(log.metrics())),
+                "/state", () -> new ReadyServer.Page(true, dump())));
     server = CallerServer.open(loop, socket, callers);
     loop.schedule(server::accept, START_HOLD_MS, TimeUnit.MILLISECONDS);
   }
 
+  private String dump() {
+    return new StateDump(keeper, table, sync)
+        .json(settings, isReady(), callers.connections(), parts.clock().nowNs());
+  }
+
+  private String metrics(GatewayMetrics metrics) {
+    if (!showsGauges) {
+      showsGauges = true;
+      showGauges(metrics);
+    }
+    return metrics.text();
+  }
+
+  /**
+   * Shows values that are read on the event loop, which also answers for the metrics. Done when the
+   * metrics are first asked for, as it would make a start longer by a tenth.
+   */
+  private void showGauges(GatewayMetrics metrics) {
+    metrics.gauge("log.lines.dropped", BoundedAppender::dropped);
+    metrics.gauge(
+        "configuration.version", () -> table.state().plan().map(p -> p.version()).orElse(0L));
+    metrics.gauge("store.revision.backends", () -> keeper.revision(Collection.BACKENDS));
+    metrics.gauge("backends.known", () -> table.entries().size());
+    metrics.gauge("gateways.known", () -> gateways.size());
+    metrics.gauge("callers.open", callers::connections);
+    metrics.gauge("probes.sent", probes::taken);
+    metrics.gauge("probes.over.budget", probes::refused);
+    metrics.gauge("cold.sends", cold::sent);
+    metrics.gauge("relay.subscribers", sync::subscribers);
+    metrics.gauge("relay.watching", () -> sync.isWatching() ? 1 : 0);
+    metrics.gauge("relay.supplied", () -> sync.isSupplied() ? 1 : 0);
+  }
+
   private void refresh() {
     for (TrafficKeeper.Fault fault : keeper.takeFaults()) {
       LOG.warnf(
@@ -157,6 +202,11 @@
     return complete && !stopping;
   }
 
+  /** Returns the port for readiness checks, metrics and dumps. */
+  public int readyPort() {
+    return pages.port();
+  }
+
   /** Returns the port for callers. */
   public int callerPort() {
     return server.port();
--- a/edge/src/main/java/org/cowslipstair/edge/GatewayParts.java
+++ b/edge/src/main/java/org/cowslipstair/edge/GatewayParts.java
@@ -13,4 +13,9 @@
     RandomGenerator random,
     ObjectFeed feed,
     ProtocolHeaders headers,
-    InvariantMonitor monitor) {}
+    InvariantMonitor monitor) {
+  /** Returns the same parts with another feed. */
+  GatewayParts with(ObjectFeed other) {
+    return new GatewayParts(loop, clock, random, other, headers, monitor);
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/cowslipstair/edge/StateDump.java
@@ -0,0 +1,84 @@
+package org.cowslipstair.edge;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import org.cowslipstair.edge.backend.BackendEntry;
+import org.cowslipstair.edge.backend.BackendTable;
+import org.cowslipstair.edge.relay.StateSync;
+import org.cowslipstair.logic.placement.BackendRecord;
+import org.cowslipstair.logic.traffic.TrafficKeeper;
+import org.cowslipstair.model.traffic.BackendInstance;
+import org.cowslipstair.model.traffic.GatewayEntry;
+import org.cowslipstair.port.ObjectFeed.Collection;
+
+/** Writes down what a gateway knows and believes, for its operators. Used on the event loop. */
+final class StateDump {
+  private final TrafficKeeper keeper;
+  private final BackendTable table;
+  private final StateSync sync;
+
+  StateDump(TrafficKeeper keeper, BackendTable table, StateSync sync) {
+    this.keeper = keeper;
+    this.table = table;
+    this.sync = sync;
+  }
+
+  /** Returns the state as JSON. Times are in milliseconds from now. */
+  String json(FrontSettings settings, boolean isReady, int callers, long nowNs) {
+    ObjectNode root = JsonNodeFactory.instance.objectNode();
+    root.put("name", settings.name()).put("zone", settings.zone().value()).put("ready", isReady);
+    root.put("callerConnections", callers);
+    root.put("configurationVersion", table.state().plan().map(plan -> plan.version()).orElse(0L));
+    ObjectNode revisions = root.putObject("revisions");
+    for (Collection collection : Collection.values()) {
+      revisions.put(collection.name().toLowerCase(Locale.ROOT), keeper.revision(collection));
+    }
+    root.putObject("relay")
+        .put("watchesStore", sync.isWatching())
+        .put("isSupplied", sync.isSupplied())
+        .put("supplies", sync.subscribers());
+    ArrayNode zonesOut = root.putArray("zonesOut");
+    table.state().zonesOut().forEach(zone -> zonesOut.add(zone.value()));
+    ArrayNode gateways = root.putArray("gateways");
+    keeper.gateways().stream().map(GatewayEntry::name).sorted().forEach(gateways::add);
+    ArrayNode backends = root.putArray("backends");
+    List<BackendEntry> entries =
+        table.entries().stream()
+            .sorted(Comparator.comparing(entry -> entry.record().instance().name().value()))
+            .toList();
+    entries.forEach(entry -> backends.add(backend(entry, nowNs)));
+    return root.toPrettyString();
+  }
+
+  private ObjectNode backend(BackendEntry entry, long nowNs) {
+    BackendRecord record = entry.record();
+    BackendInstance instance = record.instance();
+    ObjectNode node = JsonNodeFactory.instance.objectNode();
+    node.put("name", instance.name().value())
+        .put("service", instance.service().value())
+        .put("address", instance.address().toString())
+        .put("zone", instance.zone().value())
+        .put("leaving", instance.leaving())
+        .put("takesRequests", table.takesRequests(entry))
+        .put("healthy", record.isHealthy())
+        .put("cold", record.isCold(nowNs))
+        .put("paused", record.isPaused(nowNs))
+        .put("requestsFromHere", record.inFlight())
+        .put("failureShare", record.failureShare(nowNs))
+        .put("connections", entry.open());
+    record
+        .recentReport(nowNs)
+        .ifPresent(
+            load ->
+                node.putObject("load")
+                    .put("running", load.running())
+                    .put("waiting", load.waiting())
+                    .put("slots", load.slots())
+                    .put("pace", load.pace()));
+    return node;
+  }
+}
--- a/edge/src/main/java/org/cowslipstair/edge/backend/BackendEntry.java
+++ b/edge/src/main/java/org/cowslipstair/edge/backend/BackendEntry.java
@@ -29,7 +29,7 @@
   }
 
   /** Returns the open connections and those being opened. */
-  int open() {
+  public int open() {
     return open;
   }
 
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
@@ -104,16 +104,19 @@
   }
 
   RetryBudget retryBudget(ServiceName service) {
-    RetryBudget budget =
-        retryBudgets.computeIfAbsent(
-            service,
-            name ->
-                new RetryBudget(name.value(), settings().retryRatio(), parts.fleet().monitor()));
+    RetryBudget budget = retryBudgets.computeIfAbsent(service, this::newBudget);
     int gateways = parts.fleet().gateways().get().size();
     budget.share(gateways == 0 ? 0 : settings().retrySlack(), gateways);
     return budget;
   }
 
+  private RetryBudget newBudget(ServiceName service) {
+    RetryBudget budget =
+        new RetryBudget(service.value(), settings().retryRatio(), parts.fleet().monitor());
+    observer().budget(service, budget);
+    return budget;
+  }
+
   ServiceName nextService(Route route) {
     return splits
         .computeIfAbsent(route.name(), _ -> new SplitSequence(parts.random()))
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeObserver.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeObserver.java
@@ -1,6 +1,7 @@
 package org.cowslipstair.edge.exchange;
 
 import java.util.Optional;
+import org.cowslipstair.logic.budget.RetryBudget;
 import org.cowslipstair.model.config.BackendName;
 import org.cowslipstair.model.config.ServiceName;
 import org.cowslipstair.model.traffic.Route;
@@ -13,6 +14,9 @@
   /** A request was sent to a backend server. */
   void sent(Sent sent);
 
+  /** The budget of a service for sends beyond the first of each request is used from now on. */
+  void budget(ServiceName service, RetryBudget budget);
+
   /** A send has ended. */
   void attemptEnded(Optional<String> requestId, BackendName backend, String result, long tookNs);
 
--- a/edge/src/main/java/org/cowslipstair/edge/log/GatewayLog.java
+++ b/edge/src/main/java/org/cowslipstair/edge/log/GatewayLog.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.cowslipstair.edge.exchange.ExchangeObserver;
+import org.cowslipstair.logic.budget.RetryBudget;
 import org.cowslipstair.model.config.BackendName;
 import org.cowslipstair.model.config.ServiceName;
 import org.cowslipstair.model.traffic.Route;
@@ -62,6 +63,11 @@
     }
   }
 
+  @Override
+  public void budget(ServiceName service, RetryBudget budget) {
+    metrics.gauge("retries.left", service, budget::left);
+  }
+
   @Override
   public void sent(Sent sent) {
     metrics.sent(sent.cause());
@@ -105,8 +111,8 @@
     MDC.clear();
   }
 
-  /** Returns the metrics as text. */
-  public String metrics() {
-    return metrics.text();
+  /** Returns the metrics that it counts in. */
+  public GatewayMetrics metrics() {
+    return metrics;
   }
 }
--- a/edge/src/main/java/org/cowslipstair/edge/log/GatewayMetrics.java
+++ b/edge/src/main/java/org/cowslipstair/edge/log/GatewayMetrics.java
@@ -1,9 +1,10 @@
 package org.cowslipstair.edge.log;
 
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.util.concurrent.TimeUnit;
-import java.util.function.ToDoubleFunction;
+import java.util.function.Supplier;
 import org.cowslipstair.edge.exchange.ExchangeObserver.Summary;
 import org.cowslipstair.model.config.ServiceName;
 import org.cowslipstair.model.traffic.Route;
@@ -42,13 +43,25 @@
     registry.counter("log.lines.left.out").increment(count);
   }
 
-  /** Shows a value that changes by itself. */
-  public <T> void gauge(String name, T source, ToDoubleFunction<T> value) {
-    registry.gauge(name, source, value);
+  /** Counts a call to the store. */
+  public void storeCall(String kind, String collection, String result) {
+    registry
+        .counter("store.calls", "kind", kind, "collection", collection, "result", result)
+        .increment();
+  }
+
+  /** Shows a value that is asked for when the metrics are read. */
+  public void gauge(String name, Supplier<Number> value) {
+    Gauge.builder(name, value).register(registry);
+  }
+
+  /** Shows a value of one service that is asked for when the metrics are read. */
+  public void gauge(String name, ServiceName service, Supplier<Number> value) {
+    Gauge.builder(name, value).tag("service", service.value()).register(registry);
   }
 
   /** Returns all metrics in the Prometheus text format. */
-  String text() {
+  public String text() {
     return registry.scrape();
   }
 }
--- a/edge/src/main/java/org/cowslipstair/edge/relay/RelayServer.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/RelayServer.java
@@ -82,9 +82,9 @@
     subscriber.writeAndFlush(Unpooled.wrappedBuffer(bytes));
   }
 
-  /** Returns whether anyone listens. */
-  boolean hasSubscribers() {
-    return !subscribers.isEmpty();
+  /** Returns the number of gateways that listen. */
+  int subscribers() {
+    return subscribers.size();
   }
 
   private final class Subscriber extends ChannelInboundHandlerAdapter {
--- a/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
@@ -111,6 +111,21 @@
         });
   }
 
+  /** Returns whether this gateway watches the store itself. */
+  public boolean isWatching() {
+    return !followers.isEmpty();
+  }
+
+  /** Returns whether another gateway proves that what it passes on is current. */
+  public boolean isSupplied() {
+    return subscriptions.isFresh();
+  }
+
+  /** Returns the number of gateways that this one supplies. */
+  public int subscribers() {
+    return server.subscribers();
+  }
+
   private void announce() {
     parts
         .feed()
@@ -231,7 +246,7 @@
 
   /** Tells subscribers how old the knowledge is; asks the store when it has been silent. */
   private void prove(long nowNs) {
-    if (followers.isEmpty() || !lost.isEmpty() || !everInContact || !server.hasSubscribers()) {
+    if (followers.isEmpty() || !lost.isEmpty() || !everInContact || server.subscribers() == 0) {
       return;
     }
     long ageMs = (nowNs - contactNs) / NS_PER_MS;
--- /dev/null
+++ b/edge/src/test/java/org/cowslipstair/edge/PagesTest.java
@@ -0,0 +1,58 @@
+package org.cowslipstair.edge;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What a gateway tells its operators. */
+final class PagesTest {
+  private EdgeRig rig;
+
+  @BeforeEach
+  void start() throws IOException, InterruptedException {
+    rig = new EdgeRig(2);
+    try (RawClient client = rig.client()) {
+      assertThat(client.ask(RawClient.get("/safe/x", "one")).status(), is(200));
+    }
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    rig.close();
+  }
+
+  private String page(String path) throws IOException {
+    try (RawClient client = new RawClient(rig.gateway.readyPort())) {
+      return client.ask("GET %s HTTP/1.1\r\nHost: g\r\n\r\n".formatted(path)).body();
+    }
+  }
+
+  @Test
+  void dumpNamesTheStateInForce() throws IOException {
+    JsonNode dump = new ObjectMapper().readTree(page("/state"));
+    assertThat(dump.path("name").asText(), is("g"));
+    assertThat(dump.path("ready").asBoolean(), is(true));
+    assertThat(dump.path("configurationVersion").asLong(), is(1L));
+    assertThat(dump.path("revisions").path("backends").asLong(), is(1L));
+    assertThat(dump.path("relay").path("watchesStore").asBoolean(), is(true));
+    assertThat(dump.path("backends").size(), is(2));
+    assertThat(dump.path("backends").path(0).path("takesRequests").asBoolean(), is(true));
+  }
+
+  @Test
+  void metricsShowBudgetsStoreCallsAndTheStateInForce() throws IOException {
+    String metrics = page("/metrics");
+    assertThat(metrics, containsString("store_calls_total{collection=\"backends\""));
+    assertThat(metrics, containsString("retries_left{service=\"s\"}"));
+    assertThat(metrics, containsString("probes_sent"));
+    assertThat(metrics, containsString("log_lines_dropped "));
+    assertThat(metrics, containsString("configuration_version 1.0"));
+  }
+}
--- a/edge/src/test/java/org/cowslipstair/edge/log/GatewayLogTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/log/GatewayLogTest.java
@@ -106,7 +106,7 @@
       log.finished(ended("bad-" + i, "connection_lost", 502, 10));
     }
     assertThat(recorder.events, hasSize(200));
-    assertThat(log.metrics(), containsString("log_lines_left_out_total 940"));
+    assertThat(log.metrics().text(), containsString("log_lines_left_out_total 940"));
   }
 
   @Test
@@ -119,7 +119,7 @@
     assertThat(recorder.events, hasSize(2));
     assertThat(recorder.events.getFirst().getMDCPropertyMap(), hasEntry("cause", "hedge"));
     assertThat(recorder.events.getLast().getMDCPropertyMap(), hasEntry("took_ms", "7"));
-    assertThat(log.metrics(), containsString("result=\"CONNECTION_LOST\""));
+    assertThat(log.metrics().text(), containsString("result=\"CONNECTION_LOST\""));
   }
 
   @Test
--- a/lib/src/main/java/org/cowslipstair/logic/budget/ColdAllowance.java
+++ b/lib/src/main/java/org/cowslipstair/logic/budget/ColdAllowance.java
@@ -26,9 +26,13 @@
   /** Distance between sends of one owner; a little over half a second, so two fit a second. */
   private static final long DISTANCE_NS = NS_PER_SECOND / SENDS_PER_SECOND + 100_000_000L;
 
+  /** Backend servers remembered before those are forgotten that were sent to long ago. */
+  private static final int REMEMBERED = 64;
+
   private final String self;
   private final InvariantMonitor monitor;
   private final Map<BackendName, Long> sentAtNs = new HashMap<>();
+  private long sent;
 
   /**
    * Creates an allowance.
@@ -59,8 +63,17 @@
     return rankOfSelf(backend, gateways) < owners;
   }
 
+  /** Returns the requests sent to cold backend servers. */
+  public long sent() {
+    return sent;
+  }
+
   /** Counts a request that was sent to a cold backend server. */
   public void sent(BackendName backend, long nowNs) {
+    sent++;
+    if (sentAtNs.size() >= REMEMBERED) {
+      sentAtNs.values().removeIf(atNs -> nowNs - atNs >= DISTANCE_NS);
+    }
     Long before = sentAtNs.put(backend, nowNs);
     if (before != null) {
       monitor.checkAtMost(
--- a/lib/src/main/java/org/cowslipstair/logic/budget/ProbeAllowance.java
+++ b/lib/src/main/java/org/cowslipstair/logic/budget/ProbeAllowance.java
@@ -27,6 +27,7 @@
   private double tokens;
   private long filledAtNs;
   private long taken;
+  private long refused;
   private boolean begun;
 
   /**
@@ -57,6 +58,7 @@
     tokens = Math.min(capacity, tokens + (nowNs - filledAtNs) / NS_PER_SECOND * perSecond);
     filledAtNs = nowNs;
     if (tokens < 1) {
+      refused++;
       return false;
     }
     tokens -= 1;
@@ -66,4 +68,14 @@
         Invariant.PROBE_BUDGET, "all", taken, (long) Math.ceil(seconds * maxPerSecond));
     return true;
   }
+
+  /** Returns the tokens taken. */
+  public long taken() {
+    return taken;
+  }
+
+  /** Returns how often there was no token. */
+  public long refused() {
+    return refused;
+  }
 }
--- a/lib/src/main/java/org/cowslipstair/logic/budget/RetryBudget.java
+++ b/lib/src/main/java/org/cowslipstair/logic/budget/RetryBudget.java
@@ -74,6 +74,11 @@
     return tokens >= 1 + reserve;
   }
 
+  /** Returns the tokens that are left. */
+  public double left() {
+    return tokens;
+  }
+
   /** Returns the capacity. */
   public double capacity() {
     return capacity;
