Ask a lost store one cheap question, and let the next watchers go first

Change: one question for all collections, a list that may be stale (a tenth of a call; refused connections cost a whole one whatever they ask); longer pauses for gateways that are not watchers; 0.3 s in which the next two watchers of the zone may supply the others; connections to watchers that are blind are kept, so that all are supplied when these see again; who is supplied again and had no contact of its own stops at once.

--- a/edge/src/main/java/org/cowslipstair/edge/relay/RelaySubscriptions.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/RelaySubscriptions.java
@@ -20,6 +20,9 @@
    */
   private static final long FRESH_MS = 1_100;
 
+  /** Time for which the connection to a watcher without contact to the store is kept. */
+  private static final long SILENT_MS = 15_000;
+
   /** Time of fresh proof after which this gateway stops watching itself. */
   private static final long STEADY_NS = 3_000_000_000L;
 
@@ -43,6 +46,7 @@
   private final long startedNs;
   private boolean fresh;
   private long freshSinceNs;
+  private long lostSinceNs;
 
   RelaySubscriptions(
       FrontSettings settings,
@@ -96,10 +100,11 @@
         .removeIf(
             link -> {
               boolean wanted = !isWatcher && watchers.contains(link.peer());
-              if (!wanted) {
+              boolean mayReturn = roles.isPassedOver(link.peer().name(), nowNs);
+              if (!wanted && !mayReturn) {
                 link.close();
               }
-              return !wanted;
+              return !wanted && !mayReturn;
             });
     updateFresh(nowNs);
     return isWatcher;
@@ -110,15 +115,27 @@
         .values()
         .removeIf(
             link -> {
-              boolean stale = link.isClosed() || link.ageMs() > FRESH_MS;
-              if (stale) {
-                link.close();
+              if (link.isProven() && link.ageMs() <= FRESH_MS) {
+                roles.reachable(link.peer().name());
+                return false;
+              }
+              if (link.isClosed() || link.ageMs() > FRESH_MS) {
                 dropped(link, nowNs);
+                return !mayReturn(link);
               }
-              return stale;
+              return false;
             });
   }
 
+  /** A watcher that is blind and not gone supplies this gateway again when it has contact. */
+  private static boolean mayReturn(RelayLink link) {
+    boolean kept = link.isProven() && link.ageMs() <= SILENT_MS;
+    if (!kept) {
+      link.close();
+    }
+    return kept;
+  }
+
   /** Passes a watcher over at once if it fell silent, and after some patience if it never spoke. */
   private void dropped(RelayLink link, long nowNs) {
     String name = link.peer().name();
@@ -134,6 +151,8 @@
         links.values().stream().anyMatch(link -> link.isProven() && link.ageMs() <= FRESH_MS);
     if (now && !fresh) {
       freshSinceNs = nowNs;
+    } else if (!now && fresh) {
+      lostSinceNs = nowNs;
     }
     fresh = now;
   }
@@ -143,6 +162,16 @@
     return fresh;
   }
 
+  /** Returns whether the last proof has become stale within the given time. */
+  boolean lostWithin(long ns, long nowNs) {
+    return !fresh && freshSinceNs > 0 && nowNs - lostSinceNs < ns;
+  }
+
+  /** Returns whether this gateway is a watcher while all are well. */
+  boolean isFirstChoice(List<GatewayEntry> gateways) {
+    return roles.isFirstChoice(gateways);
+  }
+
   /** Returns whether the proof has been fresh for a while. */
   boolean isSteady(long nowNs) {
     return fresh && nowNs - freshSinceNs > STEADY_NS;
--- a/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
@@ -12,6 +12,7 @@
 import org.cowslipstair.edge.FrontSettings;
 import org.cowslipstair.edge.GatewayParts;
 import org.cowslipstair.edge.sync.CollectionFollower;
+import org.cowslipstair.edge.sync.StoreContact;
 import org.cowslipstair.logic.traffic.OutageMemory;
 import org.cowslipstair.logic.traffic.TrafficKeeper;
 import org.cowslipstair.model.config.HostPort;
@@ -48,6 +49,18 @@
   /** Time from the start after which a gateway that nobody supplies takes one stale look. */
   private static final long GLANCE_MS = 600;
 
+  /**
+   * Time without proof in which the next watchers may supply the others, before all turn to the
+   * store. With the age at which proof is stale, a check and a list this stays within 2 s.
+   */
+  private static final long SUCCESSION_MS = 300;
+
+  /** Longest mean pause between two questions to a store that is out of reach. */
+  private static final long WATCHER_BACKOFF_MS = 600;
+
+  /** The same for a gateway that will be supplied by the watchers when they have contact again. */
+  private static final long OTHERS_BACKOFF_MS = 1_600;
+
   private static final long ANNOUNCE_AGAIN_MS = 2_000;
   private static final long NS_PER_MS = 1_000_000L;
 
@@ -60,6 +73,7 @@
   private final RelaySubscriptions subscriptions;
   private final List<CollectionFollower> followers = new ArrayList<>();
   private final Set<Collection> lost = EnumSet.noneOf(Collection.class);
+  private StoreContact store;
   private final OutageMemory outages = new OutageMemory();
   private final long startedNs;
   private GatewayEntry self;
@@ -83,6 +97,7 @@
     this.scheduler = Schedulers.from(parts.loop());
     this.keeper = keeper;
     this.onChange = onChange;
+    this.store = newContact();
     this.startedNs = parts.clock().nowNs();
     this.fleetKnownNs = startedNs;
     this.self = new GatewayEntry(settings.name(), settings.zone(), settings.relay().address());
@@ -216,31 +231,51 @@
     boolean isWatcher = subscriptions.update(known, self, nowNs);
     boolean isSupplied = subscriptions.isFresh();
     boolean alone = known.isEmpty() && !settings.relay().firstStart() && lookedUp;
-    boolean wanted = alone || isWatcher && fleetKnown || !isSupplied && graceOver;
+    boolean isOrphan =
+        !isSupplied && graceOver && !subscriptions.lostWithin(SUCCESSION_MS * NS_PER_MS, nowNs);
+    boolean wanted = alone || isWatcher && fleetKnown || isOrphan;
+    store.longestBackoff(
+        subscriptions.isFirstChoice(known) ? WATCHER_BACKOFF_MS : OTHERS_BACKOFF_MS);
     if (wanted && followers.isEmpty()) {
       follow();
-    } else if (!wanted && !isWatcher && subscriptions.isSteady(nowNs) && !followers.isEmpty()) {
-      LOG.info("relay: supplied by other gateways");
-      followers.forEach(CollectionFollower::stop);
-      followers.clear();
+    } else if (!wanted && !followers.isEmpty()) {
+      boolean isOut = lost.size() == WATCHED.size();
+      if (isSupplied && isOut || subscriptions.isSteady(nowNs)) {
+        unfollow();
+      }
     }
   }
 
+  private void unfollow() {
+    LOG.info("relay: supplied by other gateways");
+    followers.forEach(CollectionFollower::stop);
+    followers.clear();
+    store.stop();
+    store = newContact();
+  }
+
+  private StoreContact newContact() {
+    return new StoreContact(
+        parts.feed(),
+        scheduler,
+        parts.random(),
+        () -> followers.forEach(CollectionFollower::resume));
+  }
+
   private void follow() {
     LOG.info("relay: watching the store");
     lost.clear();
     for (Collection collection : WATCHED) {
       CollectionFollower follower =
           new CollectionFollower(
-              collection,
-              parts.feed(),
-              scheduler,
-              parts.random(),
-              this,
-              settings.bounds().gatherMs());
+              collection, parts.feed(), scheduler, this, settings.bounds().gatherMs());
       followers.add(follower);
-      boolean isKnown = keeper.revision(collection) > 0;
-      follower.start(isKnown ? Freshness.LATEST : Freshness.CACHED);
+    }
+    if (keeper.isComplete()) {
+      followers.forEach(CollectionFollower::prepare);
+      store.askNow();
+    } else {
+      followers.forEach(follower -> follower.start(Freshness.CACHED));
     }
   }
 
@@ -337,17 +372,20 @@
   }
 
   @Override
-  public void contact(Collection collection, boolean inContact, String cause) {
-    long nowNs = parts.clock().nowNs();
-    if (inContact) {
-      lost.remove(collection);
-      outages.contact(nowNs);
-      LOG.infof("store: %s is followed again", collection);
-    } else {
-      lost.add(collection);
-      outages.lost(nowNs);
+  public void lost(Collection collection, String cause) {
+    if (lost.add(collection)) {
+      outages.lost(parts.clock().nowNs());
       LOG.warnf("store: %s is not followed: %s", collection, cause);
     }
+    store.lost();
+  }
+
+  @Override
+  public void regained(Collection collection) {
+    lost.remove(collection);
+    outages.contact(parts.clock().nowNs());
+    store.held();
+    LOG.infof("store: %s is followed again", collection);
   }
 
   private void later(Runnable action, long delayMs) {
--- a/edge/src/main/java/org/cowslipstair/edge/sync/CollectionFollower.java
+++ b/edge/src/main/java/org/cowslipstair/edge/sync/CollectionFollower.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.random.RandomGenerator;
 import org.cowslipstair.port.ObjectFeed;
 import org.cowslipstair.port.ObjectFeed.Collection;
 import org.cowslipstair.port.ObjectFeed.Freshness;
@@ -17,7 +16,8 @@
 /**
  * Follows one collection: lists it, then watches it from the revision of the list. After a change
  * it pauses before it watches again, so that changes which come close together cost one call. Lists
- * anew where the store has lost the history. Lives on the event loop.
+ * anew where the store has lost the history. After a failed call it rests until it is told that the
+ * store answers. Lives on the event loop.
  */
 public final class CollectionFollower {
   private static final Logger LOG = Logger.getLogger(CollectionFollower.class);
@@ -25,20 +25,17 @@
   /** Longest wait of one watch, in milliseconds; the store's own limit is 30 s. */
   private static final long WATCH_MS = 29_000;
 
-  private static final long FIRST_BACKOFF_MS = 60;
-  private static final long LONGEST_BACKOFF_MS = 600;
-
   private final Collection collection;
   private final ObjectFeed feed;
   private final Scheduler scheduler;
-  private final RandomGenerator random;
   private final Listener listener;
   private final long gatherMs;
   private final SerialDisposable call = new SerialDisposable();
   private List<Item> pages = new ArrayList<>();
   private long listRevision;
   private long revision;
-  private int failures;
+  private boolean failed;
+  private boolean resting;
   private Freshness freshness = Freshness.CACHED;
 
   /** Receives what the collection holds. */
@@ -49,8 +46,11 @@
     /** Changes since the last call. */
     void changed(Collection collection, ObjectFeed.Changes changes);
 
-    /** The store was lost or is back. */
-    void contact(Collection collection, boolean inContact, String cause);
+    /** A call failed; nothing happens before {@link CollectionFollower#resume}. */
+    void lost(Collection collection, String cause);
+
+    /** The collection is followed again. */
+    void regained(Collection collection);
   }
 
   /**
@@ -62,14 +62,12 @@
       Collection collection,
       ObjectFeed feed,
       Scheduler scheduler,
-      RandomGenerator random,
       Listener listener,
       long gatherMs) {
     this.gatherMs = gatherMs;
     this.collection = collection;
     this.feed = feed;
     this.scheduler = scheduler;
-    this.random = random;
     this.listener = listener;
   }
 
@@ -83,11 +81,25 @@
     list(Optional.empty());
   }
 
+  /** Starts to follow with the first {@link #resume}, and with a list that is not stale. */
+  public void prepare() {
+    freshness = Freshness.LATEST;
+    resting = true;
+  }
+
   /** Stops following. */
   public void stop() {
     call.dispose();
   }
 
+  /** The store answers: goes on if a call failed. */
+  public void resume() {
+    if (resting) {
+      resting = false;
+      list(Optional.empty());
+    }
+  }
+
   private void list(Optional<String> after) {
     if (after.isEmpty()) {
       pages = new ArrayList<>();
@@ -130,10 +142,10 @@
   }
 
   private void succeeded() {
-    if (failures > 0) {
-      listener.contact(collection, true, "");
+    if (failed) {
+      failed = false;
+      listener.regained(collection);
     }
-    failures = 0;
   }
 
   private void failed(Throwable cause, boolean listing) {
@@ -145,18 +157,11 @@
     if (!(cause instanceof StoreException)) {
       LOG.errorf(cause, "store: %s: unexpected failure", collection);
     }
-    if (failures == 0) {
-      listener.contact(collection, false, String.valueOf(cause.getMessage()));
-    }
-    failures++;
-    freshness = listing ? freshness : Freshness.LATEST;
-    later(() -> list(Optional.empty()), backoffMs());
-  }
-
-  private long backoffMs() {
-    long base =
-        Math.min(LONGEST_BACKOFF_MS, FIRST_BACKOFF_MS << Math.min(10, Math.max(0, failures - 1)));
-    return base / 2 + random.nextLong(base);
+    boolean mayBeStale = listing && freshness == Freshness.CACHED;
+    freshness = mayBeStale ? Freshness.CACHED : Freshness.LATEST;
+    failed = true;
+    resting = true;
+    listener.lost(collection, String.valueOf(cause.getMessage()));
   }
 
   private void later(Runnable action, long delayMs) {
--- a/edge/src/test/java/org/cowslipstair/edge/relay/StateSyncTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/relay/StateSyncTest.java
@@ -92,6 +92,16 @@
     await(() -> supplied.version() == 3);
   }
 
+  @Test
+  void gatewaySuppliedAgainAfterAnOutageWatchesNoMore() throws InterruptedException {
+    Node supplied = startFleet();
+    storeAway = true;
+    await(() -> supplied.asked.get() > 0);
+    storeAway = false;
+    version = 4;
+    await(() -> supplied.version() == 4 && supplied.watches.get() == 0);
+  }
+
   @Test
   void newbornGetsItsStateFromASeedWhileTheStoreIsAway() throws InterruptedException {
     Node first = start("g-1", List.of());
@@ -105,6 +115,7 @@
   private final class Node {
     final String name;
     final AtomicInteger watches = new AtomicInteger();
+    final AtomicInteger asked = new AtomicInteger();
     private final TrafficKeeper keeper = new TrafficKeeper(InvariantMonitor.failing());
     private final MultiThreadIoEventLoopGroup group =
         new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -164,6 +175,12 @@
         };
       }
 
+      private void failWhileAway() throws StoreException {
+        if (storeAway) {
+          throw new StoreException.AnswerLost("watch", "away");
+        }
+      }
+
       private Item plan() {
         TrafficPlan plan =
             new TrafficPlan(version(), CallerBounds.defaults(), List.of(), List.of());
@@ -177,6 +194,7 @@
       @Override
       public Single<Page> list(Collection collection, Optional<String> after, Freshness age) {
         if (storeAway) {
+          asked.incrementAndGet();
           return Single.error(new StoreException.Unavailable("list", "away"));
         }
         return Single.fromCallable(() -> new Page(items(collection), false, version()));
@@ -188,6 +206,7 @@
             collection == Collection.CONFIGURATION
                 ? Single.timer(5, TimeUnit.MILLISECONDS)
                     .repeat()
+                    .doOnNext(_ -> failWhileAway())
                     .filter(_ -> version() > revision)
                     .firstOrError()
                     .map(_ -> new Changes(List.of(plan()), Set.of(), version()))
--- a/lib/src/main/java/org/cowslipstair/logic/relay/WatcherRoles.java
+++ b/lib/src/main/java/org/cowslipstair/logic/relay/WatcherRoles.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 import org.cowslipstair.model.config.ZoneName;
 import org.cowslipstair.model.traffic.GatewayEntry;
 
@@ -35,17 +36,34 @@
     passedOverUntilNs.put(gateway, nowNs + PASSED_OVER_NS);
   }
 
+  /** Notes that a gateway supplies again. */
+  public void reachable(String gateway) {
+    passedOverUntilNs.remove(gateway);
+  }
+
   /** Returns the gateways of the zone that should watch the store now, this one included. */
   public List<GatewayEntry> watchers(List<GatewayEntry> gateways, long nowNs) {
-    return gateways.stream()
+    return ranked(
+            gateways.stream()
+                .filter(
+                    gateway -> gateway.name().equals(self) || !isPassedOver(gateway.name(), nowNs)))
+        .toList();
+  }
+
+  /** Returns whether this gateway is one of the watchers while none is passed over. */
+  public boolean isFirstChoice(List<GatewayEntry> gateways) {
+    return ranked(gateways.stream()).anyMatch(gateway -> gateway.name().equals(self));
+  }
+
+  private Stream<GatewayEntry> ranked(Stream<GatewayEntry> gateways) {
+    return gateways
         .filter(gateway -> gateway.zone().equals(zone))
-        .filter(gateway -> gateway.name().equals(self) || !isPassedOver(gateway.name(), nowNs))
         .sorted(Comparator.comparingInt(WatcherRoles::order).thenComparing(GatewayEntry::name))
-        .limit(WATCHERS)
-        .toList();
+        .limit(WATCHERS);
   }
 
-  private boolean isPassedOver(String gateway, long nowNs) {
+  /** Returns whether a gateway is passed over now. */
+  public boolean isPassedOver(String gateway, long nowNs) {
     Long untilNs = passedOverUntilNs.get(gateway);
     return untilNs != null && nowNs < untilNs;
   }
--- a/lib/src/test/java/org/cowslipstair/logic/relay/WatcherRolesTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/relay/WatcherRolesTest.java
@@ -44,6 +44,26 @@
     assertThat(roles.watchers(FLEET, 11_000_000_000L), hasItem(first));
   }
 
+  @Test
+  void watcherThatSuppliesAgainIsNamedAgainAtOnce() {
+    WatcherRoles roles = new WatcherRoles("g-0", ZONE);
+    GatewayEntry first =
+        roles.watchers(FLEET, 0).stream().filter(g -> !g.name().equals("g-0")).findFirst().get();
+    roles.unreachable(first.name(), 0);
+    roles.reachable(first.name());
+    assertThat(roles.watchers(FLEET, 1), hasItem(first));
+  }
+
+  @Test
+  void firstChoiceDoesNotDependOnWhoIsPassedOver() {
+    List<GatewayEntry> expected = new WatcherRoles("", ZONE).watchers(FLEET, 0);
+    for (GatewayEntry gateway : FLEET) {
+      WatcherRoles roles = new WatcherRoles(gateway.name(), ZONE);
+      FLEET.forEach(other -> roles.unreachable(other.name(), 0));
+      assertThat(roles.isFirstChoice(FLEET), is(expected.contains(gateway)));
+    }
+  }
+
   @Test
   void lastGatewayThatCanBeReachedWatchesItself() {
     WatcherRoles roles = new WatcherRoles("g-0", ZONE);
