--- /dev/null
+++ b/soak/src/main/java/org/cowslipstair/soak/check/RequestKind.java
@@ -0,0 +1,16 @@
+package org.cowslipstair.soak.check;
+
+/** What may be done with a request. */
+public enum RequestKind {
+  /** May run more than once. */
+  SAFE,
+  /** Runs at most once. */
+  UNSAFE,
+  /** Has a long body; runs at most once. */
+  UPLOAD;
+
+  /** Returns the word of its route. */
+  public String word() {
+    return name().toLowerCase(java.util.Locale.ROOT);
+  }
+}
--- /dev/null
+++ b/soak/src/main/java/org/cowslipstair/soak/fault/FaultPlan.java
@@ -0,0 +1,96 @@
+package org.cowslipstair.soak.fault;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.cowslipstair.soak.fleet.Backend;
+import org.cowslipstair.soak.fleet.Fleet;
+import org.cowslipstair.soak.net.FaultyLink;
+
+/** Faults and when they come, drawn from a seed. They come in series and overlap. */
+public final class FaultPlan {
+  private static final long MEAN_GAP_MS = 900;
+  private static final int SERIES = 3;
+  private static final int MANY = 1_000;
+  private static final double MOST = 0.6;
+
+  private final Random random;
+
+  private FaultPlan(long seed) {
+    this.random = new Random(seed);
+  }
+
+  /** A fault and its time from the start of traffic. */
+  public record Planned(long atMs, Fault fault) {}
+
+  /** Draws a plan; the same seed gives the same plan. */
+  public static List<Planned> draw(long seed, long lengthMs) {
+    FaultPlan plan = new FaultPlan(seed);
+    List<Planned> planned = new ArrayList<>();
+    long atMs = MEAN_GAP_MS;
+    while (atMs < lengthMs) {
+      int series = plan.random.nextInt(SERIES) == 0 ? 1 + plan.random.nextInt(SERIES) : 1;
+      int kind = plan.random.nextInt(Kind.values().length);
+      for (int i = 0; i < series; i++) {
+        planned.add(new Planned(atMs + i * MEAN_GAP_MS / SERIES, plan.fault(Kind.values()[kind])));
+      }
+      atMs += (long) (-Math.log(1 - plan.random.nextDouble()) * MEAN_GAP_MS);
+    }
+    return List.copyOf(planned);
+  }
+
+  private enum Kind {
+    KILL,
+    KILL_MOST,
+    PAUSE,
+    STOP,
+    RELOAD,
+    STORE_LINK,
+    STORE_AWAY,
+    STORE_REFUSES,
+    STORE_LOSES,
+    STORE_FORGETS,
+    BACKEND_FAULT,
+    BACKEND_LINK,
+    BACKEND_CRASH,
+    BACKEND_LEAVES,
+    BACKEND_COLD,
+    CONFIGURATION,
+    ZONE_OUT
+  }
+
+  private Fault fault(Kind kind) {
+    int index = random.nextInt(MANY);
+    long forMs = 500 + random.nextInt(5_000);
+    return switch (kind) {
+      case KILL -> new Fault.Kill(index);
+      case KILL_MOST -> new Fault.KillMost(MOST);
+      case PAUSE -> new Fault.Pause(index, Math.min(forMs, 3_000));
+      case STOP -> new Fault.Stop(index);
+      case RELOAD -> new Fault.Reload(index, random.nextBoolean());
+      case STORE_LINK -> new Fault.StoreLink(index, condition(), forMs);
+      case STORE_AWAY -> new Fault.StoreAway(condition(), forMs);
+      case STORE_REFUSES -> new Fault.StoreRefuses(forMs);
+      case STORE_LOSES -> new Fault.StoreLosesAnswers(forMs);
+      case STORE_FORGETS -> new Fault.StoreForgets();
+      case BACKEND_FAULT -> new Fault.BackendFault(index, backendFault(), forMs);
+      case BACKEND_LINK -> new Fault.BackendLink(index, condition(), forMs);
+      case BACKEND_CRASH -> new Fault.BackendCrash(index);
+      case BACKEND_LEAVES -> new Fault.BackendLeaves(index);
+      case BACKEND_COLD -> new Fault.BackendCold(index);
+      case CONFIGURATION -> new Fault.ChangeConfiguration();
+      case ZONE_OUT ->
+          new Fault.ZoneOut(Fleet.ZONES.get(random.nextInt(Fleet.ZONES.size())), forMs + 5_000);
+    };
+  }
+
+  private FaultyLink.Condition condition() {
+    FaultyLink.Condition[] all = FaultyLink.Condition.values();
+    return all[1 + random.nextInt(all.length - 1)];
+  }
+
+  private Backend.Fault backendFault() {
+    Backend.Fault[] all = Backend.Fault.values();
+    return all[1 + random.nextInt(all.length - 1)];
+  }
+}
--- /dev/null
+++ b/soak/src/main/java/org/cowslipstair/soak/fault/package-info.java
@@ -0,0 +1,5 @@
+/** Seeded faults. */
+@NullMarked
+package org.cowslipstair.soak.fault;
+
+import org.jspecify.annotations.NullMarked;
