Follow the store in one class, and prove contact only for what was listed

Change: StoreWatch keeps which collections are behind; proofs need all of them listed. Tests: StoreWatchTest.

--- a/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
@@ -4,16 +4,12 @@
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.schedulers.Schedulers;
 import java.util.ArrayList;
-import java.util.EnumSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.cowslipstair.edge.FrontSettings;
 import org.cowslipstair.edge.GatewayParts;
-import org.cowslipstair.edge.sync.CollectionFollower;
-import org.cowslipstair.edge.sync.StoreContact;
-import org.cowslipstair.logic.traffic.OutageMemory;
+import org.cowslipstair.edge.sync.StoreWatch;
 import org.cowslipstair.logic.traffic.TrafficKeeper;
 import org.cowslipstair.model.config.HostPort;
 import org.cowslipstair.model.traffic.GatewayEntry;
@@ -27,11 +23,8 @@
  * pass changes on, with proof of their contact; the others take over by themselves when no proof is
  * fresh. Lives on its event loop.
  */
-public final class StateSync implements CollectionFollower.Listener {
+public final class StateSync implements StoreWatch.Listener {
   private static final Logger LOG = Logger.getLogger(StateSync.class);
-  private static final List<Collection> WATCHED =
-      List.of(Collection.CONFIGURATION, Collection.BACKENDS, Collection.ZONES_OUT);
-
   private static final long CHECK_MS = 250;
 
   /** Longest silence of the store before a watcher asks it for proof, a call that costs a tenth. */
@@ -71,10 +64,7 @@
   private final Runnable onChange;
   private final RelayServer server;
   private final RelaySubscriptions subscriptions;
-  private final List<CollectionFollower> followers = new ArrayList<>();
-  private final Set<Collection> lost = EnumSet.noneOf(Collection.class);
-  private StoreContact store;
-  private final OutageMemory outages = new OutageMemory();
+  private final StoreWatch store;
   private final long startedNs;
   private GatewayEntry self;
   private long fleetKnownNs;
@@ -97,7 +87,14 @@
     this.scheduler = Schedulers.from(parts.loop());
     this.keeper = keeper;
     this.onChange = onChange;
-    this.store = newContact();
+    this.store =
+        new StoreWatch(
+            parts.feed(),
+            scheduler,
+            parts.clock(),
+            parts.random(),
+            settings.bounds().gatherMs(),
+            this);
     this.startedNs = parts.clock().nowNs();
     this.fleetKnownNs = startedNs;
     this.self = new GatewayEntry(settings.name(), settings.zone(), settings.relay().address());
@@ -128,7 +125,7 @@
 
   /** Returns whether this gateway watches the store itself. */
   public boolean isWatching() {
-    return !followers.isEmpty();
+    return store.isOn();
   }
 
   /** Returns whether another gateway proves that what it passes on is current. */
@@ -157,7 +154,7 @@
   private void lookUp() {
     long nextMs = LOOK_UP_MS[Math.min(lookUps, LOOK_UP_MS.length - 1)];
     lookUps++;
-    boolean needed = lookUps <= 2 || !followers.isEmpty() || keeper.gateways().isEmpty();
+    boolean needed = lookUps <= 2 || store.isOn() || keeper.gateways().isEmpty();
     later(this::lookUp, nextMs + parts.random().nextLong(nextMs / 4));
     if (!needed) {
       return;
@@ -169,7 +166,7 @@
         .subscribe(
             page -> {
               lookedUp = true;
-              listed(Collection.GATEWAYS, page.items(), page.revision());
+              listed(Collection.GATEWAYS, page.items(), page.revision(), 0);
               announceIfUnknown();
               decide();
             },
@@ -189,8 +186,8 @@
 
   /** Lists once what may be seconds old, so as to serve while the watchers still start. */
   private void glance() {
-    for (Collection collection : WATCHED) {
-      if (followers.isEmpty() && keeper.revision(collection) == 0) {
+    for (Collection collection : StoreWatch.COLLECTIONS) {
+      if (!store.isOn() && keeper.revision(collection) == 0) {
         parts
             .feed()
             .list(collection, Optional.empty(), Freshness.CACHED)
@@ -236,52 +233,20 @@
     boolean wanted = alone || isWatcher && fleetKnown || isOrphan;
     store.longestBackoff(
         subscriptions.isFirstChoice(known) ? WATCHER_BACKOFF_MS : OTHERS_BACKOFF_MS);
-    if (wanted && followers.isEmpty()) {
-      follow();
-    } else if (!wanted && !followers.isEmpty()) {
-      boolean isOut = lost.size() == WATCHED.size();
-      if (isSupplied && isOut || subscriptions.isSteady(nowNs)) {
-        unfollow();
+    if (wanted && !store.isOn()) {
+      LOG.info("relay: watching the store");
+      store.start(keeper.isComplete());
+    } else if (!wanted && store.isOn()) {
+      if (isSupplied && store.isOut() || subscriptions.isSteady(nowNs)) {
+        LOG.info("relay: supplied by other gateways");
+        store.stop();
       }
     }
   }
 
-  private void unfollow() {
-    LOG.info("relay: supplied by other gateways");
-    followers.forEach(CollectionFollower::stop);
-    followers.clear();
-    store.stop();
-    store = newContact();
-  }
-
-  private StoreContact newContact() {
-    return new StoreContact(
-        parts.feed(),
-        scheduler,
-        parts.random(),
-        () -> followers.forEach(CollectionFollower::resume));
-  }
-
-  private void follow() {
-    LOG.info("relay: watching the store");
-    lost.clear();
-    for (Collection collection : WATCHED) {
-      CollectionFollower follower =
-          new CollectionFollower(
-              collection, parts.feed(), scheduler, this, settings.bounds().gatherMs());
-      followers.add(follower);
-    }
-    if (keeper.isComplete()) {
-      followers.forEach(CollectionFollower::prepare);
-      store.askNow();
-    } else {
-      followers.forEach(follower -> follower.start(Freshness.CACHED));
-    }
-  }
-
   /** Tells subscribers how old the knowledge is; asks the store when it has been silent. */
   private void prove(long nowNs) {
-    if (followers.isEmpty() || !lost.isEmpty() || !everInContact || server.subscribers() == 0) {
+    if (!store.isCurrent() || !everInContact || server.subscribers() == 0) {
       return;
     }
     long ageMs = (nowNs - contactNs) / NS_PER_MS;
@@ -337,10 +302,10 @@
   }
 
   @Override
-  public void listed(Collection collection, List<ObjectFeed.Item> items, long revision) {
+  public void listed(
+      Collection collection, List<ObjectFeed.Item> items, long revision, long graceNs) {
     long nowNs = parts.clock().nowNs();
     contactAt(nowNs);
-    long graceNs = outages.graceNs(nowNs);
     keeper.replace(collection, items, revision, nowNs, graceNs);
     refreshLater(graceNs);
     onChange.run();
@@ -350,10 +315,8 @@
   }
 
   @Override
-  public void changed(Collection collection, ObjectFeed.Changes changes) {
-    long nowNs = parts.clock().nowNs();
-    contactAt(nowNs);
-    long graceNs = outages.graceNs(nowNs);
+  public void changed(Collection collection, ObjectFeed.Changes changes, long graceNs) {
+    contactAt(parts.clock().nowNs());
     apply(collection, changes, graceNs);
     server.publish(new RelayMessage.Changed(collection, changes, graceNs / NS_PER_MS));
   }
@@ -371,23 +334,6 @@
     }
   }
 
-  @Override
-  public void lost(Collection collection, String cause) {
-    if (lost.add(collection)) {
-      outages.lost(parts.clock().nowNs());
-      LOG.warnf("store: %s is not followed: %s", collection, cause);
-    }
-    store.lost();
-  }
-
-  @Override
-  public void regained(Collection collection) {
-    lost.remove(collection);
-    outages.contact(parts.clock().nowNs());
-    store.held();
-    LOG.infof("store: %s is followed again", collection);
-  }
-
   private void later(Runnable action, long delayMs) {
     parts.loop().schedule(action, delayMs, TimeUnit.MILLISECONDS);
   }
--- a/edge/src/main/java/org/cowslipstair/edge/sync/StoreContact.java
+++ b/edge/src/main/java/org/cowslipstair/edge/sync/StoreContact.java
@@ -1,6 +1,7 @@
 package org.cowslipstair.edge.sync;
 
 import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.disposables.Disposable;
 import io.reactivex.rxjava3.disposables.SerialDisposable;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -15,13 +16,14 @@
  */
 public final class StoreContact {
   private static final long FIRST_BACKOFF_MS = 60;
+  private static final long USUAL_LONGEST_BACKOFF_MS = 600;
 
   private final ObjectFeed feed;
   private final Scheduler scheduler;
   private final RandomGenerator random;
   private final Runnable answers;
   private final SerialDisposable call = new SerialDisposable();
-  private long longestBackoffMs;
+  private long longestBackoffMs = USUAL_LONGEST_BACKOFF_MS;
   private int failures;
   private boolean asking;
 
@@ -71,9 +73,11 @@
     failures = 0;
   }
 
-  /** Asks no more. */
+  /** Asks no more until the next call. */
   public void stop() {
-    call.dispose();
+    call.set(Disposable.disposed());
+    asking = false;
+    failures = 0;
   }
 
   private void ask() {
