Keep a test of hedges from reaching the cancellation of the loser

Cause: the test advances virtual time by 10 ms; the hedge is due after 5, its loser is cancelled 5 later, and when the calling thread schedules that while the clock still moves, it falls into the same advance. Ruled out: the code, which cancels after the grace as it should. Change: advance by 7 ms, between the two. The check is as it was.

--- a/lib/src/test/java/org/cowslipstair/logic/call/CallServiceTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/call/CallServiceTest.java
@@ -36,6 +36,13 @@
 
 final class CallServiceTest {
   private static final int WARM_UP_CALLS = 120;
+
+  /**
+   * Time after which a hedge is due: calls of the warm-up take 5 ms. A loser is cancelled as long
+   * again after its hedge, which this must not reach.
+   */
+  private static final long HEDGE_DUE_MS = 7;
+
   private final AtomicInteger slowCalls = new AtomicInteger();
   private final AtomicInteger sends = new AtomicInteger();
   private volatile BackendTransport behaviour = (_, _) -> FakeAnswer.whole("ok");
@@ -158,7 +165,7 @@
           if (attempts.getAndIncrement() > 0) {
             return FakeAnswer.whole("hedge");
           }
-          answerOnceHedgeIsDue();
+          answerOnceHedgeIsDue(HEDGE_DUE_MS);
           hedgeAnswered.await();
           return FakeAnswer.whole("slow");
         };
@@ -173,7 +180,7 @@
   void hedgesStayWithinTheirShareOfCalls() throws Exception {
     warmUp();
     slowCalls.set(fixture.hedgeTimer.scheduled.get());
-    behaviour = (_, _) -> answerOnceHedgeIsDue();
+    behaviour = (_, _) -> answerOnceHedgeIsDue(2 * HEDGE_DUE_MS);
     for (int i = 0; i < 200; i++) {
       CallFixture.text(fixture.call("slow-" + i, "GET"));
       slowCalls.set(fixture.hedgeTimer.scheduled.get());
@@ -324,11 +331,11 @@
     }
   }
 
-  private BackendAnswer answerOnceHedgeIsDue() throws InterruptedException {
+  private BackendAnswer answerOnceHedgeIsDue(long advanceMs) throws InterruptedException {
     while (fixture.hedgeTimer.scheduled.get() <= slowCalls.get()) {
       Thread.sleep(1);
     }
-    fixture.timer.advanceTimeBy(10, TimeUnit.MILLISECONDS);
+    fixture.timer.advanceTimeBy(advanceMs, TimeUnit.MILLISECONDS);
     return FakeAnswer.whole("slow");
   }
 
