Take a server that was not heard of for cold when there is no probe

Requests without a probe were placed by own counts, which know nothing of cold. Ruled out: the cold allowance itself (its sends kept their distance). Change: without a health answer of the last half second a server counts as cold, so the fleet's owners and distances bound what it gets; while less than half a second's probes are left, a send asks three servers and not ten.

--- a/edge/src/main/java/org/cowslipstair/edge/backend/Prober.java
+++ b/edge/src/main/java/org/cowslipstair/edge/backend/Prober.java
@@ -75,6 +75,11 @@
     OTHER_INSTANCE
   }
 
+  /** Returns whether few probes are left, so that each request should use few. */
+  public boolean isScarce() {
+    return allowance.isScarce(clock.nowNs());
+  }
+
   /** Probes a backend instance. */
   public void probe(BackendEntry entry, String path, Listener listener) {
     if (!allowance.tryTake(clock.nowNs())) {
@@ -121,7 +126,7 @@
       }
       report = LoadHeader.parse(head.headers().get(headers.load()));
       boolean healthy = head.status().code() == HttpResponseStatus.OK.code();
-      entry.record().probed(healthy, nowNs + coldMs(head) * NS_PER_MS);
+      entry.record().probed(healthy, nowNs + coldMs(head) * NS_PER_MS, nowNs);
       report.ifPresent(load -> entry.record().reported(load, nowNs));
     }
 
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Placement.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Placement.java
@@ -28,9 +28,11 @@
   /** Candidates asked in each round; the last is repeated. */
   private static final int[] ROUND_SIZES = {1, 2, 4};
 
-  /** Most candidates asked for one send. */
+  /** Most candidates asked for one send, and the same while probes are scarce. */
   private static final int MAX_PROBES = 10;
 
+  private static final int MAX_SCARCE_PROBES = 3;
+
   /** Time after which a round counts as over, although answers are missing. */
   private static final long ROUND_MS = 15;
 
@@ -47,6 +49,7 @@
   private final List<Option> options = new ArrayList<>();
   private final String healthPath;
   private final double bearsColdPerSecond;
+  private final int maxProbes;
   private @Nullable ScheduledFuture<?> roundEnd;
   private int next;
   private int asked;
@@ -110,6 +113,7 @@
         traits.map(ServiceTraits::coldRequestsPerSecond).orElse(0.0)
                 * context.settings().coldFactor()
             + context.settings().coldSlack();
+    this.maxProbes = context.prober().isScarce() ? MAX_SCARCE_PROBES : MAX_PROBES;
     this.candidates = candidates();
   }
 
@@ -129,7 +133,7 @@
             record -> entryOf(eligible, record).hasIdle(),
             context.nowNs())
         .forEach(record -> ordered.add(entryOf(eligible, record)));
-    ordered.removeIf(entry -> !mayUse(entry));
+    ordered.removeIf(entry -> !mayAsk(entry));
     return ordered;
   }
 
@@ -166,7 +170,7 @@
     int size = ROUND_SIZES[Math.min(round, ROUND_SIZES.length - 1)];
     round++;
     int started = 0;
-    while (started < size && next < candidates.size() && asked < MAX_PROBES && !done) {
+    while (started < size && next < candidates.size() && asked < maxProbes && !done) {
       ask(candidates.get(next++));
       started++;
     }
@@ -245,7 +249,7 @@
     }
     long nowNs = context.nowNs();
     Option best = best();
-    boolean moreToAsk = next < candidates.size() && asked < MAX_PROBES;
+    boolean moreToAsk = next < candidates.size() && asked < maxProbes;
     if (best != null && nowNs + best.estimate.total() * request.workNs() <= request.targetNs()) {
       boolean goodEnough = !request.isHedge() || best.estimate.rank() <= HEDGE_TOTAL;
       if (goodEnough && (best.estimate.free() || !moreToAsk)) {
@@ -295,20 +299,25 @@
     return best;
   }
 
+  private boolean mayAsk(BackendEntry entry) {
+    boolean isWarm = !entry.record().isCold(context.nowNs());
+    return context.table().takesRequests(entry) && (isWarm || mayUseCold(entry));
+  }
+
   private boolean mayUse(BackendEntry entry) {
-    long nowNs = context.nowNs();
-    if (!context.table().takesRequests(entry)) {
-      return false;
-    }
-    return !entry.record().isCold(nowNs)
-        || context
-            .fleet()
-            .coldAllowance()
-            .maySend(
-                entry.record().instance().name(),
-                bearsColdPerSecond,
-                context.fleet().gateways().get(),
-                nowNs);
+    boolean isWarm = !entry.record().mayBeCold(context.nowNs());
+    return context.table().takesRequests(entry) && (isWarm || mayUseCold(entry));
+  }
+
+  private boolean mayUseCold(BackendEntry entry) {
+    return context
+        .fleet()
+        .coldAllowance()
+        .maySend(
+            entry.record().instance().name(),
+            bearsColdPerSecond,
+            context.fleet().gateways().get(),
+            context.nowNs());
   }
 
   private void choose(Option option) {
@@ -319,7 +328,7 @@
       option.connection.ifPresent(ServerConnection::close);
     }
     long nowNs = context.nowNs();
-    if (option.entry.record().isCold(nowNs)) {
+    if (option.entry.record().mayBeCold(nowNs)) {
       context.fleet().coldAllowance().sent(option.entry.record().instance().name(), nowNs);
     }
     listener.placed(new Chosen(option.entry, usable, option.estimate.total(), option.load));
--- a/edge/src/test/java/org/cowslipstair/edge/EdgeRig.java
+++ b/edge/src/test/java/org/cowslipstair/edge/EdgeRig.java
@@ -47,6 +47,7 @@
           "X-Cold-Ms");
   static final long TIMEOUT_MS = 1_500;
   static final long LONG_TIMEOUT_MS = 20_000;
+  static final double MANY_PROBES = 10_000;
   private static final ServiceName SERVICE = new ServiceName("s");
   private static final ZoneName ZONE = new ZoneName("z");
   private static final GatewayEntry SELF =
@@ -61,7 +62,16 @@
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
   EdgeRig(int backendCount) throws IOException, InterruptedException {
-    this(backendCount, true, _ -> {});
+    this(backendCount, MANY_PROBES);
+  }
+
+  /**
+   * Starts a gateway and waits until it is ready.
+   *
+   * @param probesPerSecond probes that a backend server may get a second
+   */
+  EdgeRig(int backendCount, double probesPerSecond) throws IOException, InterruptedException {
+    this(backendCount, probesPerSecond, true, _ -> {});
     while (!gateway.isReady()) {
       TimeUnit.MILLISECONDS.sleep(1);
     }
@@ -73,7 +83,7 @@
    * @param configured whether the store has a configuration
    * @param beforeStart gets the port for callers while nobody accepts there yet
    */
-  EdgeRig(int backendCount, boolean configured, IntConsumer beforeStart)
+  EdgeRig(int backendCount, double probesPerSecond, boolean configured, IntConsumer beforeStart)
       throws IOException, InterruptedException {
     this.configured = configured;
     for (int i = 0; i < backendCount; i++) {
@@ -90,7 +100,7 @@
             100,
             1.5,
             5,
-            new FrontSettings.FleetBounds(10_000, 3_000, 400L << 20, 50));
+            new FrontSettings.FleetBounds(probesPerSecond, 3_000, 400L << 20, 50));
     EventLoop loop = group.next();
     ServerSocketChannel socket = CallerServer.listen(new HostPort("127.0.0.1", 0));
     beforeStart.accept(socket.socket().getLocalPort());
--- a/edge/src/test/java/org/cowslipstair/edge/StartTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/StartTest.java
@@ -25,7 +25,7 @@
 
   @Test
   void requestSentBeforeTheConfigurationIsKnownIsServed() throws IOException, InterruptedException {
-    EdgeRig rig = new EdgeRig(1, true, this::connect);
+    EdgeRig rig = new EdgeRig(1, EdgeRig.MANY_PROBES, true, this::connect);
     try (RawClient client = early.get()) {
       assertThat(client.read().status(), is(200));
     }
@@ -35,7 +35,7 @@
   @Test
   void requestIsRefusedAsNotRunWhereNoConfigurationCanBeHad()
       throws IOException, InterruptedException {
-    EdgeRig rig = new EdgeRig(1, false, this::connect);
+    EdgeRig rig = new EdgeRig(1, EdgeRig.MANY_PROBES, false, this::connect);
     try (RawClient client = early.get()) {
       RawClient.Answer answer = client.read();
       assertThat(answer.status(), is(503));
--- a/edge/src/test/java/org/cowslipstair/edge/backend/BackendTableTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/backend/BackendTableTest.java
@@ -60,7 +60,7 @@
   void backendWhoseEntryLapsedIsUsedOnlyWhileItSaysThatItIsWell() {
     BackendEntry entry = update(1, Set.of(), Set.of(NAME));
     assertThat(table.takesRequests(entry), is(true));
-    entry.record().probed(false, 0);
+    entry.record().probed(false, 0, 0);
     assertThat(table.takesRequests(entry), is(false));
     update(1, Set.of(), Set.of());
     assertThat(table.takesRequests(entry), is(true));
--- a/lib/src/main/java/org/cowslipstair/logic/budget/ProbeAllowance.java
+++ b/lib/src/main/java/org/cowslipstair/logic/budget/ProbeAllowance.java
@@ -16,6 +16,9 @@
   private static final double NS_PER_SECOND = 1e9;
   private static final double BURST_SECONDS = 5;
 
+  /** Seconds of its part below which probes are scarce. */
+  private static final double SCARCE_SECONDS = 0.5;
+
   /** Seconds of its part with which a gateway begins. */
   private static final double START_SECONDS = 2;
 
@@ -50,13 +53,7 @@
 
   /** Takes a token if there is one. */
   public boolean tryTake(long nowNs) {
-    if (!begun) {
-      begun = true;
-      tokens = START_SECONDS * perSecond;
-    }
-    double capacity = perSecond * BURST_SECONDS;
-    tokens = Math.min(capacity, tokens + (nowNs - filledAtNs) / NS_PER_SECOND * perSecond);
-    filledAtNs = nowNs;
+    fill(nowNs);
     if (tokens < 1) {
       refused++;
       return false;
@@ -69,6 +66,22 @@
     return true;
   }
 
+  private void fill(long nowNs) {
+    if (!begun) {
+      begun = true;
+      tokens = START_SECONDS * perSecond;
+    }
+    double capacity = perSecond * BURST_SECONDS;
+    tokens = Math.min(capacity, tokens + (nowNs - filledAtNs) / NS_PER_SECOND * perSecond);
+    filledAtNs = nowNs;
+  }
+
+  /** Returns whether less is left than flows in over a short time. */
+  public boolean isScarce(long nowNs) {
+    fill(nowNs);
+    return tokens < SCARCE_SECONDS * perSecond;
+  }
+
   /** Returns the tokens taken. */
   public long taken() {
     return taken;
--- a/lib/src/main/java/org/cowslipstair/logic/placement/BackendRecord.java
+++ b/lib/src/main/java/org/cowslipstair/logic/placement/BackendRecord.java
@@ -18,6 +18,9 @@
   /** First pause after a failed connection; doubles up to the longest. */
   private static final long FIRST_PAUSE_NS = 250_000_000L;
 
+  /** Time after a health answer in which a backend server is taken not to have become cold. */
+  private static final long HEARD_NS = 500_000_000L;
+
   /** Age up to which a report tells more than own counts; about the time of one request. */
   private static final long RECENT_REPORT_NS = 200_000_000L;
 
@@ -30,6 +33,8 @@
   private int unreachable;
   private long pausedUntilNs;
   private long coldUntilNs;
+  private boolean heard;
+  private long heardNs;
   private boolean healthy = true;
   private Optional<LoadReport> report = Optional.empty();
   private long reportedNs;
@@ -62,7 +67,9 @@
    * @param isHealthy whether the backend server says that it takes requests
    * @param newColdUntilNs monotonic time until which it says to be cold
    */
-  public void probed(boolean isHealthy, long newColdUntilNs) {
+  public void probed(boolean isHealthy, long newColdUntilNs, long nowNs) {
+    heard = true;
+    heardNs = nowNs;
     healthy = isHealthy;
     coldUntilNs = newColdUntilNs;
     unreachable = 0;
@@ -125,6 +132,14 @@
     return nowNs < coldUntilNs;
   }
 
+  /**
+   * Returns whether the backend server is cold or was not heard of for a while: one may fall cold
+   * at any moment.
+   */
+  public boolean mayBeCold(long nowNs) {
+    return isCold(nowNs) || !heard || nowNs - heardNs > HEARD_NS;
+  }
+
   /** Returns the share of recent requests that failed, fading with time. */
   public double failureShare(long nowNs) {
     return failureAverage * Math.pow(0.5, (nowNs - failedAtNs) / FAILURE_HALF_LIFE_NS);
--- a/lib/src/test/java/org/cowslipstair/logic/budget/FleetBudgetsTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/budget/FleetBudgetsTest.java
@@ -124,6 +124,18 @@
     assertThat((double) taken, closeTo(2 * part, 1));
   }
 
+  @Test
+  void probesAreScarceWhenHalfASecondsPartIsLeft() {
+    ProbeAllowance allowance = new ProbeAllowance(60, InvariantMonitor.failing(), 0);
+    allowance.share(36, 19);
+    assertThat(allowance.isScarce(0), is(false));
+    while (!allowance.isScarce(0)) {
+      assertThat(allowance.tryTake(0), is(true));
+    }
+    assertThat(allowance.tryTake(0), is(true));
+    assertThat(allowance.isScarce(SECOND_NS), is(false));
+  }
+
   @Test
   void gatewaysThatRestartEachTwoSecondsKeepTheRate() {
     long taken = 0;
--- a/lib/src/test/java/org/cowslipstair/logic/placement/PlacementRulesTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/placement/PlacementRulesTest.java
@@ -82,7 +82,7 @@
   @Test
   void illBackendIsRankedLastButNotRuledOut() {
     BackendRecord record = record("b", HOME.value());
-    record.probed(false, 0);
+    record.probed(false, 0, 0);
     assertThat(estimate(record, 0, 0, 1).rank(), closeTo(5, 0.001));
   }
 
@@ -94,7 +94,7 @@
     assertThat(record.isPaused(SECOND_NS / 2), is(false));
     record.unreachable(SECOND_NS);
     assertThat(record.isPaused(SECOND_NS + SECOND_NS * 2 / 5), is(true));
-    record.probed(true, 0);
+    record.probed(true, 0, 2 * SECOND_NS);
     record.unreachable(9 * SECOND_NS);
     assertThat(record.isPaused(9 * SECOND_NS + SECOND_NS * 2 / 5), is(false));
   }
@@ -102,11 +102,21 @@
   @Test
   void healthAnswerSaysHowLongTheColdStartLasts() {
     BackendRecord record = record("b", HOME.value());
-    record.probed(true, 2 * SECOND_NS);
+    record.probed(true, 2 * SECOND_NS, 0);
     assertThat(record.isCold(SECOND_NS), is(true));
     assertThat(record.isCold(3 * SECOND_NS), is(false));
   }
 
+  @Test
+  void backendThatWasNotHeardOfForAWhileMayBeCold() {
+    BackendRecord record = record("b", HOME.value());
+    assertThat(record.mayBeCold(SECOND_NS), is(true));
+    record.probed(true, 0, SECOND_NS);
+    assertThat(record.mayBeCold(SECOND_NS + SECOND_NS / 4), is(false));
+    assertThat(record.mayBeCold(2 * SECOND_NS), is(true));
+    assertThat(record.isCold(2 * SECOND_NS), is(false));
+  }
+
   private static List<String> names(List<BackendRecord> records) {
     return records.stream().map(record -> record.instance().name().value()).toList();
   }
