--- a/cli/src/main/java/org/cowslipstair/cli/Cli.java
+++ b/cli/src/main/java/org/cowslipstair/cli/Cli.java
@@ -40,6 +40,7 @@
     commands.put("dump", new DumpCommand());
     commands.put("explain", new ExplainCommand());
     commands.put("explain-log", new ExplainLogCommand());
+    commands.put("audit-log", new AuditLogCommand());
     commands.put("store", new StoreCommand());
     return commands;
   }
