--- a/soak/src/main/java/org/cowslipstair/soak/check/RequestKind.java
+++ b/soak/src/main/java/org/cowslipstair/soak/check/RequestKind.java
@@ -1,5 +1,7 @@
 package org.cowslipstair.soak.check;
 
+import java.util.Locale;
+
 /** What may be done with a request. */
 public enum RequestKind {
   /** May run more than once. */
@@ -11,6 +13,6 @@
 
   /** Returns the word of its route. */
   public String word() {
-    return name().toLowerCase(java.util.Locale.ROOT);
+    return name().toLowerCase(Locale.ROOT);
   }
 }
--- a/soak/src/main/java/org/cowslipstair/soak/net/HttpRequest.java
+++ b/soak/src/main/java/org/cowslipstair/soak/net/HttpRequest.java
@@ -1,5 +1,6 @@
 package org.cowslipstair.soak.net;
 
+import java.util.Locale;
 import java.util.Map;
 
 /**
@@ -10,6 +11,6 @@
 public record HttpRequest(String method, String target, Map<String, String> headers, byte[] body) {
   /** Returns a header, empty if it is missing. */
   public String header(String name) {
-    return headers.getOrDefault(name.toLowerCase(java.util.Locale.ROOT), "");
+    return headers.getOrDefault(name.toLowerCase(Locale.ROOT), "");
   }
 }
