Let gateways of a large fleet hedge from a full retry budget

Cause: a hedge needed one token beyond two fifths of the bucket. Ruled out: a larger bucket, which would let the fleet exceed its slack in a window (property test). Change: where reserve and token exceed the capacity, a full bucket suffices. The rule moves from the timer to the budget. Before and after, in the model of 100 requests at one gateway of 152: 0 hedges, more than 10; the fleet's sum holds as before.

--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
@@ -293,7 +293,7 @@
     }
     boolean isAllowed = route.kind().isRepeatable() || mayHaveRunCount == 0;
     boolean isInTime = context.nowNs() < deadlineNs;
-    if (isAllowed && isInTime && sendCount < route.maxAttempts() && retryBudget.tryAcquire(0)) {
+    if (isAllowed && isInTime && sendCount < route.maxAttempts() && retryBudget.tryAcquireRetry()) {
       selectBackend("retry", false);
     } else if (mayHaveRunCount == 0) {
       refuse(new Refusal.NotRun(reason));
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/HedgeTimer.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/HedgeTimer.java
@@ -9,9 +9,6 @@
  * Starts a hedge: a second send of a repeatable request while the first send is still in progress.
  */
 final class HedgeTimer {
-  /** Share of the retry budget that hedges leave for retries after failures. */
-  private static final double RETRY_RESERVE_SHARE = 0.4;
-
   /**
    * Delay before a hedge that found no good backend server is tried again; by then the pace has
    * changed.
@@ -63,7 +60,7 @@
 
   /** Withdraws a hedge from the retry budget; returns false if the budget does not allow it. */
   boolean tryAcquireBudget() {
-    return budget.tryAcquire(retryReserve());
+    return budget.tryAcquireHedge();
   }
 
   /** Stops the timer. */
@@ -73,12 +70,8 @@
     }
   }
 
-  private double retryReserve() {
-    return budget.capacity() * RETRY_RESERVE_SHARE;
-  }
-
   private void onTimer() {
-    if (budget.canAcquire(retryReserve())) {
+    if (budget.canAcquireHedge()) {
       onDue.run();
     }
   }
--- a/lib/src/main/java/org/cowslipstair/logic/budget/RetryBudget.java
+++ b/lib/src/main/java/org/cowslipstair/logic/budget/RetryBudget.java
@@ -12,6 +12,9 @@
   /** Used fraction of the fleet's budget; the rest covers gateways that are not known yet. */
   private static final double USED_FRACTION = 0.8;
 
+  /** Share of the capacity that hedges leave for retries after failures. */
+  private static final double RETRY_RESERVE_SHARE = 0.4;
+
   private final String service;
   private final double ratio;
   private final InvariantMonitor monitor;
@@ -58,9 +61,28 @@
     return Math.max(capacity, 1);
   }
 
-  /** Acquires a token if one is available and at least the given number of tokens remains. */
-  public boolean tryAcquire(double reserve) {
-    if (!canAcquire(reserve)) {
+  /** Acquires a token for a retry after a failure, if one is available. */
+  public boolean tryAcquireRetry() {
+    return tryAcquire(1);
+  }
+
+  /** Acquires a token for a hedge, if enough tokens remain for retries. */
+  public boolean tryAcquireHedge() {
+    return tryAcquire(minTokensForHedge());
+  }
+
+  /** Returns whether {@link #tryAcquireHedge} would succeed. */
+  public boolean canAcquireHedge() {
+    return tokens >= minTokensForHedge();
+  }
+
+  /** In a large fleet the reserve and a token exceed the capacity; then a full bucket suffices. */
+  private double minTokensForHedge() {
+    return Math.min(1 + capacity * RETRY_RESERVE_SHARE, maxTokens());
+  }
+
+  private boolean tryAcquire(double minTokens) {
+    if (tokens < minTokens) {
       return false;
     }
     tokens -= 1;
@@ -70,18 +92,8 @@
     return true;
   }
 
-  /** Returns whether {@link #tryAcquire} would succeed. */
-  public boolean canAcquire(double reserve) {
-    return tokens >= 1 + reserve;
-  }
-
   /** Returns the number of tokens left. */
   public double availableTokens() {
     return tokens;
   }
-
-  /** Returns the capacity in tokens. */
-  public double capacity() {
-    return capacity;
-  }
 }
--- a/lib/src/test/java/org/cowslipstair/logic/budget/FleetBudgetsTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/budget/FleetBudgetsTest.java
@@ -54,7 +54,7 @@
         if (hasRequest) {
           budget.recordRequest();
         }
-        retries[step + 1] += random.nextInt(4) == 0 && budget.tryAcquire(0) ? 1 : 0;
+        retries[step + 1] += random.nextInt(4) == 0 && budget.tryAcquireRetry() ? 1 : 0;
       }
       requests[step + 1] += requests[step];
       retries[step + 1] += retries[step];
@@ -66,6 +66,38 @@
     }
   }
 
+  /**
+   * A calm minute of a large fleet: 152 gateways share a slack of 230, and each gets a request of
+   * the service every 600 ms.
+   */
+  @Test
+  void gatewayOfALargeFleetHedgesFromAFullBudget() {
+    RetryBudget budget = new RetryBudget("s", 0.2, InvariantMonitor.failing());
+    budget.setShare(230, 152);
+    int requests = 100;
+    int hedges = 0;
+    for (int i = 0; i < requests; i++) {
+      budget.recordRequest();
+      hedges += budget.tryAcquireHedge() ? 1 : 0;
+    }
+    assertThat(hedges, greaterThan(requests / 10));
+    assertThat((double) hedges, lessThanOrEqualTo(0.2 * requests + 230.0 / 152));
+  }
+
+  @Test
+  void hedgesLeavePartOfALargeBudgetToRetries() {
+    RetryBudget budget = new RetryBudget("s", 0.2, InvariantMonitor.failing());
+    budget.setShare(100, 1);
+    while (budget.canAcquireHedge()) {
+      assertThat(budget.tryAcquireHedge(), is(true));
+    }
+    int retries = 0;
+    while (budget.tryAcquireRetry()) {
+      retries++;
+    }
+    assertThat(retries, greaterThan(30));
+  }
+
   @Property(seed = "5502", tries = 100)
   void coldRateStaysWithinTheLimitWithTwoViewsOfTheFleet(
       @ForAll @IntRange(min = 2, max = 40) int gateways, @ForAll long seed) {
