Run pipelined safe requests side by side and answer in order

Cause: a connection handled one request at a time, so that a caller that sends three at once waited for the sum of their times, and the time that a request had been queued was not taken off its deadline. Ruled out: unlimited concurrency (a connection could claim the slots of a small service), and running unsafe requests beside others (a response that closes the connection would leave one that ran unanswered). Change: up to four repeatable requests of a connection are forwarded side by side; their responses are queued and written in order, a streamed one is paused until its turn. Every other request waits for all earlier ones. The response after which nothing more is read carries Connection: close, and what follows it is discarded and never forwarded; the connection is closed for writing first, because closing it with unread bytes could destroy the last response. Queued messages are bounded in bytes too. A connection to a backend server that was paused while its response ended is resumed before it is used again.

--- a/edge/src/main/java/org/cowslipstair/edge/caller/CallerConnection.java
+++ b/edge/src/main/java/org/cowslipstair/edge/caller/CallerConnection.java
@@ -1,56 +1,51 @@
 package org.cowslipstair.edge.caller;
 
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
-import org.cowslipstair.edge.exchange.Exchange;
 import org.cowslipstair.edge.exchange.Refusal;
-import org.cowslipstair.edge.exchange.RequestMessage;
 import org.cowslipstair.model.call.NotRunReason;
 import org.cowslipstair.model.traffic.CallerBounds;
 import org.jspecify.annotations.Nullable;
 
 /**
- * A connection of a caller: reads one complete request at a time and has it forwarded. Messages
- * that arrive before the response is written are queued. Used on its event loop only.
+ * A connection of a caller. Reads requests and has them forwarded; the responses go out in the
+ * order of the requests. A few repeatable requests are forwarded side by side; every other request
+ * waits until all earlier ones have their responses. Used on its event loop only.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
   private static final long NS_PER_MS = 1_000_000L;
 
-  /** Messages that may be queued behind a request before reading from the connection stops. */
-  private static final int MAX_QUEUED_MESSAGES = 64;
-
-  /** Maximum time for which the rest of a refused request is read and discarded. */
+  /**
+   * Maximum time for which bytes behind the last request are read and discarded. Closing with
+   * unread bytes would reset the connection and could destroy the response.
+   */
   private static final long DISCARD_TIMEOUT_MS = 2_000;
 
   private final CallerContext callerContext;
-  private final Deque<HttpObject> queuedMessages = new ArrayDeque<>();
-  private final CompositeByteBuf noBody = Unpooled.compositeBuffer();
+  private final MessageQueue queuedMessages = new MessageQueue();
+  private final ActiveRequests activeRequests;
   private State state = State.IDLE;
-  private @Nullable ResponseWriter writer;
-  private @Nullable HttpRequest head;
-  private CompositeByteBuf body = noBody;
-  private @Nullable Exchange exchange;
+  private @Nullable ResponseQueue responses;
+  private @Nullable RequestAssembler assembler;
   private @Nullable ScheduledFuture<?> requestTimer;
   private @Nullable ScheduledFuture<?> idleTimer;
-  private long headArrivedNs;
   private long idleSinceNs;
-  private long reservedBytes;
   private boolean bytesReceived;
 
   private enum State {
@@ -58,9 +53,7 @@
     IDLE,
     /** Reading the body of a request. */
     READING,
-    /** A request is being forwarded. */
-    BUSY,
-    /** The request is refused: the rest of it is discarded, then the connection is closed. */
+    /** The last request was read: what follows is discarded. */
     DISCARDING,
     /** The connection is closed or closing. */
     CLOSED
@@ -68,26 +61,35 @@
 
   CallerConnection(CallerContext callerContext) {
     this.callerContext = callerContext;
+    this.activeRequests = new ActiveRequests(callerContext.memory());
   }
 
   @Override
   public void channelActive(ChannelHandlerContext context) {
-    writer = new ResponseWriter(context, this::onResponseWritten);
+    responses = new ResponseQueue(context, this::onResponseWritten);
     callerContext.connectionOpened(this);
     startIdle();
   }
 
   /** Closes the connection if it is waiting for a request. */
   void closeIfIdle() {
-    if (state == State.IDLE && !bytesReceived) {
-      state = State.CLOSED;
-      writer().close();
+    if (isIdle() && !bytesReceived) {
+      close();
     }
   }
 
-  /** Makes the response to the request in progress the last one. */
+  private boolean isIdle() {
+    return state == State.IDLE && responses().isEmpty() && queuedMessages.isEmpty();
+  }
+
+  /**
+   * Makes the responses to the requests that were read the last ones; if there are none, the
+   * response to the next request.
+   */
   void closeAfterResponse() {
-    writer().closeAfterResponse();
+    if (!responses().isEmpty()) {
+      responses().closeAfterLast();
+    }
   }
 
   /** Records that bytes arrived, which may not be a complete message yet. */
@@ -97,7 +99,8 @@
 
   @Override
   public void channelReadComplete(ChannelHandlerContext context) {
-    if (state == State.IDLE && bytesReceived && requestTimer == null) {
+    boolean hasPartOfHead = state == State.IDLE && bytesReceived && queuedMessages.isEmpty();
+    if (hasPartOfHead && requestTimer == null) {
       startTimer(this::onHeadTimeout, callerContext.bounds().headTimeoutMs());
     }
   }
@@ -108,20 +111,35 @@
       ReferenceCountUtil.release(message);
       return;
     }
-    if (state != State.BUSY) {
-      handle(object);
+    if (queuedMessages.isEmpty() && !mustWait(object)) {
+      handle(object, callerContext.nowNs());
       return;
     }
-    queuedMessages.add(object);
-    if (queuedMessages.size() > MAX_QUEUED_MESSAGES) {
+    queuedMessages.add(object, callerContext.nowNs());
+    if (queuedMessages.isFull()) {
       context.channel().config().setAutoRead(false);
     }
   }
 
-  private void handle(HttpObject object) {
+  private boolean mustWait(HttpObject object) {
+    return object instanceof HttpRequest request
+        && state == State.IDLE
+        && !responses().isEmpty()
+        && !responses().isClosing()
+        && !canForwardBesideOthers(request);
+  }
+
+  private boolean canForwardBesideOthers(HttpRequest request) {
+    return activeRequests.canAddRepeatable()
+        && request.decoderResult().isSuccess()
+        && !HttpUtil.is100ContinueExpected(request)
+        && callerContext.isRepeatable(request);
+  }
+
+  private void handle(HttpObject object, long arrivedNs) {
     try {
       if (object instanceof HttpRequest request && state == State.IDLE) {
-        onRequestHead(request);
+        onRequestHead(request, arrivedNs);
       }
       if (object instanceof HttpContent content) {
         onRequestContent(content);
@@ -131,156 +149,150 @@
     }
   }
 
-  private void onRequestHead(HttpRequest request) {
+  private void onRequestHead(HttpRequest request, long arrivedNs) {
     stopTimer();
-    headArrivedNs = callerContext.nowNs();
+    if (responses().isClosing()) {
+      state = State.DISCARDING;
+      return;
+    }
     state = State.READING;
-    head = request;
-    body = Unpooled.compositeBuffer(Integer.MAX_VALUE);
-    writer()
-        .prepareNext(
-            request.method(), HttpUtil.isKeepAlive(request) && !callerContext.isStopping());
+    QueuedResponse response = responses().add(request.method());
+    RequestAssembler newAssembler =
+        new RequestAssembler(callerContext, request, response, arrivedNs);
+    assembler = newAssembler;
+    if (!HttpUtil.isKeepAlive(request) || callerContext.isStopping()) {
+      responses().closeAfterLast();
+    }
     CallerBounds bounds = callerContext.bounds();
     Optional<HttpResponseStatus> rejectionStatus =
         RequestValidator.rejectionStatus(request, bounds);
     if (rejectionStatus.isPresent()) {
-      rejectRequest(rejectionStatus.get());
+      rejectRequest(response, rejectionStatus.get());
       return;
     }
     if (HttpUtil.is100ContinueExpected(request)) {
-      writer().writeContinue();
+      writeContinue();
     }
-    long timeoutMs = deadlineMs(request).orElse(bounds.idleTimeoutMs());
-    startTimer(() -> rejectRequest(HttpResponseStatus.REQUEST_TIMEOUT), timeoutMs);
+    long timeoutMs = newAssembler.deadlineMs().orElse(bounds.idleTimeoutMs());
+    startTimer(() -> rejectRequest(response, HttpResponseStatus.REQUEST_TIMEOUT), timeoutMs);
   }
 
-  private OptionalLong deadlineMs(HttpRequest request) {
-    return RequestValidator.parseMillis(request.headers(), callerContext.headers().deadlineMs());
+  private void writeContinue() {
+    responses()
+        .context()
+        .writeAndFlush(
+            new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
   }
 
   private void onRequestContent(HttpContent content) {
     boolean isLast = content instanceof LastHttpContent;
     bytesReceived &= !isLast;
-    if (state == State.DISCARDING && isLast) {
-      close();
-    }
-    if (state != State.READING) {
-      return;
-    }
-    if (content.decoderResult().isFailure()) {
-      rejectRequest(HttpResponseStatus.BAD_REQUEST);
-      return;
-    }
-    int bytes = content.content().readableBytes();
-    if (body.readableBytes() + (long) bytes > callerContext.bounds().maxBodyBytes()) {
-      rejectRequest(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
-      return;
-    }
-    if (!callerContext.memory().tryReserve(bytes)) {
-      refuseForMemoryLimit();
+    RequestAssembler current = assembler;
+    if (current == null) {
       return;
     }
-    reservedBytes += bytes;
-    if (bytes > 0) {
-      body.addComponent(true, content.content().retain());
-    }
-    if (isLast) {
-      onRequestComplete();
+    switch (current.add(content)) {
+      case RequestAssembler.Progress.Incomplete _ -> {}
+      case RequestAssembler.Progress.Complete complete -> onRequestComplete(current, complete);
+      case RequestAssembler.Progress.Rejected(var status) ->
+          rejectRequest(current.response(), status);
+      case RequestAssembler.Progress.OutOfMemory _ -> refuseForMemoryLimit(current);
     }
   }
 
-  private void onRequestComplete() {
-    HttpRequest request = head;
-    if (request == null) {
-      return;
-    }
+  private void onRequestComplete(
+      RequestAssembler current, RequestAssembler.Progress.Complete complete) {
     stopTimer();
-    head = null;
-    CompositeByteBuf completeBody = body;
-    body = noBody;
-    state = State.BUSY;
-    OptionalLong deadlineMs = deadlineMs(request);
-    OptionalLong deadlineNs =
-        deadlineMs.isPresent()
-            ? OptionalLong.of(headArrivedNs + deadlineMs.getAsLong() * NS_PER_MS)
-            : OptionalLong.empty();
-    boolean hasBody =
-        HttpUtil.isContentLengthSet(request) || HttpUtil.isTransferEncodingChunked(request);
-    RequestMessage message =
-        new RequestMessage(
-            request.method(),
-            request.uri(),
-            request.headers(),
-            completeBody,
-            hasBody,
-            requestId(request),
-            deadlineNs,
-            headArrivedNs);
-    Optional<Exchange> newExchange = callerContext.createExchange(message, writer());
-    exchange = newExchange.orElse(null);
-    newExchange.ifPresent(Exchange::start);
-  }
-
-  private Optional<String> requestId(HttpRequest request) {
-    return Optional.ofNullable(request.headers().get(callerContext.headers().requestId()));
+    assembler = null;
+    state = State.IDLE;
+    ActiveRequests.ActiveRequest request =
+        activeRequests.add(current.isRepeatable(), complete.reservedBytes());
+    callerContext.createExchange(complete.message(), current.response()).ifPresent(request::start);
   }
 
   private void onHeadTimeout() {
-    writer().prepareNext(HttpMethod.GET, false);
-    rejectRequest(HttpResponseStatus.REQUEST_TIMEOUT);
+    rejectRequest(responses().add(HttpMethod.GET), HttpResponseStatus.REQUEST_TIMEOUT);
   }
 
-  private void rejectRequest(HttpResponseStatus status) {
+  private void rejectRequest(QueuedResponse rejected, HttpResponseStatus status) {
     callerContext.recordRejectedRequest(status);
     startDiscarding();
-    writer().writeEmpty(status);
+    activeRequests.addRejected();
+    rejected.writeEmpty(status);
   }
 
-  private void refuseForMemoryLimit() {
-    Optional<String> id = head == null ? Optional.empty() : requestId(head);
+  private void refuseForMemoryLimit(RequestAssembler current) {
     startDiscarding();
+    activeRequests.addRejected();
     callerContext.refuse(
-        writer(),
+        current.response(),
         new Refusal.NotRun(NotRunReason.NO_FREE_SLOT),
-        id,
+        current.requestId(),
         callerContext.bounds().idleTimeoutMs() * NS_PER_MS);
   }
 
   private void startDiscarding() {
-    releaseBody();
+    stopTimer();
+    discardAssembler();
     state = State.DISCARDING;
-    writer().closeAfterResponse();
-    startTimer(this::close, DISCARD_TIMEOUT_MS);
+    responses().closeAfterLast();
   }
 
-  private void onResponseWritten(boolean closesConnection) {
-    exchange = null;
-    releaseMemory();
-    if (state == State.DISCARDING || state == State.CLOSED) {
+  private void onResponseWritten() {
+    activeRequests.removeFirst();
+    if (state == State.CLOSED) {
       return;
     }
-    if (closesConnection) {
-      close();
+    if (responses().isClosing() && responses().isEmpty()) {
+      closeGracefully();
       return;
     }
-    state = State.IDLE;
-    while (state != State.BUSY && state != State.CLOSED && !queuedMessages.isEmpty()) {
-      handle(queuedMessages.remove());
+    handleQueuedMessages();
+    if (isIdle()) {
+      startIdle();
     }
-    ChannelHandlerContext context = writer().context();
-    if (queuedMessages.size() <= MAX_QUEUED_MESSAGES && !context.channel().config().isAutoRead()) {
+  }
+
+  private void handleQueuedMessages() {
+    MessageQueue.Entry next = queuedMessages.peek();
+    while (next != null && state != State.CLOSED && !mustWait(next.message())) {
+      queuedMessages.remove();
+      handle(next.message(), next.arrivedNs());
+      next = queuedMessages.peek();
+    }
+    ChannelHandlerContext context = responses().context();
+    if (!queuedMessages.isFull() && !context.channel().config().isAutoRead()) {
       context.channel().config().setAutoRead(true);
     }
-    if (state == State.IDLE) {
-      startIdle();
+  }
+
+  /**
+   * Closes the connection for writing once everything written has been sent, and discards what the
+   * caller has sent meanwhile.
+   */
+  private void closeGracefully() {
+    state = State.CLOSED;
+    stopTimer();
+    queuedMessages.clear();
+    ChannelHandlerContext context = responses().context();
+    context.channel().config().setAutoRead(true);
+    context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(_ -> closeOutput(context.channel()));
+    schedule(context::close, DISCARD_TIMEOUT_MS);
+  }
+
+  private void closeOutput(Channel channel) {
+    callerContext.connectionClosed(this);
+    if (channel instanceof SocketChannel socket) {
+      socket.shutdownOutput();
     }
   }
 
   private void close() {
     state = State.CLOSED;
     stopTimer();
-    releaseQueuedMessages();
-    writer().close();
+    queuedMessages.clear();
+    responses().context().close();
   }
 
   private void startIdle() {
@@ -300,7 +312,7 @@
       return;
     }
     long timeoutMs = callerContext.bounds().idleTimeoutMs();
-    long idleMs = state == State.IDLE ? (callerContext.nowNs() - idleSinceNs) / NS_PER_MS : 0;
+    long idleMs = isIdle() ? (callerContext.nowNs() - idleSinceNs) / NS_PER_MS : 0;
     if (idleMs >= timeoutMs) {
       closeIfIdle();
     } else {
@@ -314,7 +326,7 @@
   }
 
   private ScheduledFuture<?> schedule(Runnable action, long delayMs) {
-    return writer().context().executor().schedule(action, delayMs, TimeUnit.MILLISECONDS);
+    return responses().context().executor().schedule(action, delayMs, TimeUnit.MILLISECONDS);
   }
 
   private void stopTimer() {
@@ -324,36 +336,23 @@
     }
   }
 
-  private void releaseBody() {
-    stopTimer();
-    head = null;
-    if (body != noBody) {
-      body.release();
-      body = noBody;
+  private void discardAssembler() {
+    if (assembler != null) {
+      assembler.discard();
+      assembler = null;
     }
-    releaseMemory();
-  }
-
-  private void releaseMemory() {
-    callerContext.memory().release(reservedBytes);
-    reservedBytes = 0;
   }
 
-  private void releaseQueuedMessages() {
-    queuedMessages.forEach(ReferenceCountUtil::release);
-    queuedMessages.clear();
-  }
-
-  private ResponseWriter writer() {
-    if (writer == null) {
+  private ResponseQueue responses() {
+    if (responses == null) {
       throw new IllegalStateException("connection is not open yet");
     }
-    return writer;
+    return responses;
   }
 
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext context) {
-    writer().onWritabilityChanged();
+    responses().onWritabilityChanged();
   }
 
   @Override
@@ -362,16 +361,13 @@
     if (idleTimer != null) {
       idleTimer.cancel(false);
     }
-    releaseBody();
-    releaseQueuedMessages();
-    Exchange current = exchange;
-    exchange = null;
-    if (writer != null) {
-      writer.onCallerDisconnected();
-    }
-    if (current != null) {
-      current.onCallerDisconnected();
+    stopTimer();
+    discardAssembler();
+    queuedMessages.clear();
+    if (responses != null) {
+      responses.onCallerDisconnected();
     }
+    activeRequests.cancelAll();
     callerContext.connectionClosed(this);
   }
 
--- a/edge/src/main/java/org/cowslipstair/edge/caller/CallerContext.java
+++ b/edge/src/main/java/org/cowslipstair/edge/caller/CallerContext.java
@@ -1,5 +1,7 @@
 package org.cowslipstair.edge.caller;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.HashSet;
 import java.util.List;
@@ -126,6 +128,17 @@
             ""));
   }
 
+  /** Returns whether the route of a request allows it to be executed more than once. */
+  boolean isRepeatable(HttpRequest request) {
+    String path = RequestMessage.path(request.uri());
+    return table
+        .state()
+        .plan()
+        .flatMap(plan -> plan.route(request.headers().get(HttpHeaderNames.HOST, ""), path))
+        .filter(route -> route.kind().isRepeatable())
+        .isPresent();
+  }
+
   /**
    * Creates the exchange of a request, or refuses the request and returns empty if there is no
    * configuration or no matching route.
@@ -133,7 +146,7 @@
   Optional<Exchange> createExchange(RequestMessage message, Responder responder) {
     Optional<TrafficPlan> plan = table.state().plan();
     Optional<Route> route =
-        plan.flatMap(p -> p.route(message.headers().get("host", ""), message.path()));
+        plan.flatMap(p -> p.route(message.headers().get(HttpHeaderNames.HOST, ""), message.path()));
     if (route.isPresent()) {
       return Optional.of(new Exchange(exchangeContext, message, route.get(), responder));
     }
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/RequestMessage.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/RequestMessage.java
@@ -29,6 +29,11 @@
     long arrivedNs) {
   /** Returns the path without the query. */
   public String path() {
+    return path(target);
+  }
+
+  /** Returns the path of a request target without the query. */
+  public static String path(String target) {
     int query = target.indexOf('?');
     return query < 0 ? target : target.substring(0, query);
   }
--- a/edge/src/main/java/org/cowslipstair/edge/http/ServerConnection.java
+++ b/edge/src/main/java/org/cowslipstair/edge/http/ServerConnection.java
@@ -199,6 +199,7 @@
 
   private void finish(ResponseListener currentListener) {
     listener = null;
+    setAutoRead(true);
     boolean isRequestUnsent = requestWrite != null && !requestWrite.isDone();
     if (isRequestUnsent || closesAfterResponse) {
       close();
