Split queued peer messages that exceed a frame together

Cause: the writer of a peer connection gathered waiting messages up to 64 KiB before it looked at their sum, so that two messages below the frame limit could exceed it together; it then closed a healthy connection with MESSAGE_TOO_LARGE. That is how HostilePeerTest.peerThatDoesNotReadLosesItsConnectionAndNothingElseWaits failed once: the connection ended so, 57 ms in, before the queue overflowed. Ruled out: a connection that was not up yet (the test waits for it). Change: a batch is split between two messages when the last one passes the limit.

--- a/adapters/src/main/java/org/cowslipstair/adapters/peer/PeerConnection.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/peer/PeerConnection.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.SocketTimeoutException;
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
@@ -79,8 +80,9 @@
     NameTable names = new NameTable();
     WireWriter out = new WireWriter(names);
     try {
-      while (!closed.get() && writeWaiting(out)) {
-        traffic.frameOut();
+      boolean isOpen = true;
+      while (isOpen && !closed.get()) {
+        isOpen = writeWaiting(out);
       }
       frames.socket().shutdownOutput(); // The peer reads what is on its way, then closes.
     } catch (IOException | ProtocolException expected) {
@@ -90,6 +92,7 @@
     }
   }
 
+  /** Writes the messages that wait, as few frames; returns false once the end was reached. */
   private boolean writeWaiting(WireWriter out)
       throws IOException, ProtocolException, InterruptedException {
     Item item = queue.take();
@@ -97,26 +100,36 @@
       int before = out.sizeBytes();
       PeerCodec.write(message, out);
       traffic.messageOut(MessageFamily.of(message), out.sizeBytes() - before);
+      if (before > 0 && out.sizeBytes() > settings.maxFrameBytes()) {
+        writeInTwoFrames(out.take(), before);
+        return true;
+      }
       Item next = out.sizeBytes() < FRAME_TARGET_BYTES ? queue.poll() : null;
       if (next == null) {
-        writeFrame(out);
+        writeFrame(out.take());
         return true;
       }
       item = next;
     }
     if (out.sizeBytes() > 0) {
-      writeFrame(out);
+      writeFrame(out.take());
     }
     return false;
   }
 
-  private void writeFrame(WireWriter out) throws IOException, ProtocolException {
-    byte[] payload = out.take();
+  /** Splits between two messages, so that neither frame exceeds the limit because of the other. */
+  private void writeInTwoFrames(byte[] payload, int splitAt) throws IOException, ProtocolException {
+    writeFrame(Arrays.copyOf(payload, splitAt));
+    writeFrame(Arrays.copyOfRange(payload, splitAt, payload.length));
+  }
+
+  private void writeFrame(byte[] payload) throws IOException, ProtocolException {
     if (payload.length > settings.maxFrameBytes()) {
       throw new ProtocolException(
           ProtocolError.MESSAGE_TOO_LARGE, "frame of %d bytes".formatted(payload.length));
     }
     frames.write(payload);
+    traffic.frameOut();
   }
 
   /** Reads until the connection ends, and hands on each message. */
