Keep the first request of the cold-start test running until the second has collapsed it

Cause: both requests had 20 ms of work; on a busy machine the second arrived after the first had ended, so that nothing ran side by side and no collapse was counted (failed twice beside builds). Change: work is a thousand times slower until the collapse has been counted, then as usual. Every assertion stays.

--- a/standins/src/test/java/org/cowslipstair/standins/backend/BackendServerStandinTest.java
+++ b/standins/src/test/java/org/cowslipstair/standins/backend/BackendServerStandinTest.java
@@ -164,10 +164,14 @@
   void coldBackendCollapsesAboveCapacityAndWarmsUpBelowIt() throws Exception {
     BackendServerStandin standin =
         start(behaviour(3, 20_000).withColdStart(new ColdStart(1, 3, 20, 2, 0, 0)));
+    BackendBehaviour usual = standin.behaviour();
+    standin.setBehaviour(usual.withSlowFactor(1_000));
     standin.goCold();
     CompletableFuture<?> first = sendAsync(request(standin, "1"));
     await(() -> standin.counts().runs() == 1);
     CompletableFuture<?> second = sendAsync(request(standin, "2"));
+    await(() -> standin.counts().runs() == 2 && standin.counts().collapses() > 0);
+    standin.setBehaviour(usual);
     first.get();
     second.get();
 
