Keep the pace of the control loop when the time of day jumps

Cause: RxJava's periodic schedule computes the next run from the time of day. When it jumped back by ten minutes the control loop stood still for ten minutes; when it jumped forward it ran 120,000 turns at once. Found by reading for Vaikom's clock steps; the event-loop gateway on the users' platform does not use it. Change: each turn schedules the next one by a delay.

--- a/lib/src/main/java/org/cowslipstair/runtime/ControlLoop.java
+++ b/lib/src/main/java/org/cowslipstair/runtime/ControlLoop.java
@@ -2,6 +2,7 @@
 
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
+import io.reactivex.rxjava3.disposables.SerialDisposable;
 import io.reactivex.rxjava3.schedulers.Schedulers;
 import java.lang.management.ManagementFactory;
 import java.lang.management.ThreadMXBean;
@@ -25,24 +26,53 @@
   private static final ThreadMXBean THREAD_MX_BEAN = ManagementFactory.getThreadMXBean();
 
   private final MonotonicClock clock;
-  private final AtomicReference<Thread> thread = new AtomicReference<>();
-  private final ExecutorService executor;
+  private final AtomicReference<Thread> thread;
+  private final Runnable onClosed;
   private final Scheduler.Worker worker;
   private final CompositeDisposable timers = new CompositeDisposable();
   private final LongAdder startedTasks = new LongAdder();
   private final LongAdder failedTasks = new LongAdder();
 
+  /** An executor with one thread. */
+  private static final class OwnThread {
+    private final AtomicReference<Thread> thread = new AtomicReference<>();
+    private final ExecutorService executor;
+
+    private OwnThread(String name) {
+      this.executor =
+          Executors.newSingleThreadExecutor(
+              task -> {
+                Thread created = Thread.ofPlatform().name(name).daemon(true).unstarted(task);
+                thread.set(created);
+                return created;
+              });
+    }
+  }
+
   /** Starts the thread. */
   public ControlLoop(String name, MonotonicClock clock) {
+    this(clock, new OwnThread(name));
+  }
+
+  private ControlLoop(MonotonicClock clock, OwnThread own) {
+    this(clock, Schedulers.from(own.executor), own.thread, own.executor::shutdownNow);
+  }
+
+  /**
+   * Creates a loop on the thread of a scheduler.
+   *
+   * @param thread receives the thread, for its processor time
+   * @param onClosed called when the loop is closed
+   */
+  ControlLoop(
+      MonotonicClock clock,
+      Scheduler scheduler,
+      AtomicReference<Thread> thread,
+      Runnable onClosed) {
     this.clock = clock;
-    this.executor =
-        Executors.newSingleThreadExecutor(
-            task -> {
-              Thread created = Thread.ofPlatform().name(name).daemon(true).unstarted(task);
-              thread.set(created);
-              return created;
-            });
-    this.worker = Schedulers.from(executor).createWorker();
+    this.worker = scheduler.createWorker();
+    this.thread = thread;
+    this.onClosed = onClosed;
   }
 
   @Override
@@ -50,12 +80,24 @@
     worker.schedule(() -> run(task));
   }
 
-  /** Runs a task periodically and passes it the current monotonic time in nanoseconds. */
+  /**
+   * Runs a task periodically and passes it the current monotonic time in nanoseconds. Schedules
+   * each run by a delay, because RxJava's own periodic schedule follows the time of day, which may
+   * jump.
+   */
   public void schedulePeriodically(long periodMs, LongConsumer task) {
-    timers.add(
-        worker.schedulePeriodically(
-            () -> run(() -> task.accept(clock.nowNs())),
-            periodMs,
+    SerialDisposable timer = new SerialDisposable();
+    timers.add(timer);
+    scheduleNext(periodMs, task, timer);
+  }
+
+  private void scheduleNext(long periodMs, LongConsumer task, SerialDisposable timer) {
+    timer.set(
+        worker.schedule(
+            () -> {
+              run(() -> task.accept(clock.nowNs()));
+              scheduleNext(periodMs, task, timer);
+            },
             periodMs,
             TimeUnit.MILLISECONDS));
   }
@@ -93,6 +135,6 @@
   public void close() {
     timers.dispose();
     worker.dispose();
-    executor.shutdownNow();
+    onClosed.run();
   }
 }
