Bound bytes that never become a message, and close after them

Ruled out by the same tests: request lines, headers, chunk extensions, trailers and slow heads were bounded by the decoder and the head timer.

--- a/edge/src/main/java/org/cowslipstair/edge/StatusServer.java
+++ b/edge/src/main/java/org/cowslipstair/edge/StatusServer.java
@@ -13,6 +13,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
@@ -78,6 +79,10 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject object) {
+      if (object instanceof HttpContent content && content.content().isReadable()) {
+        context.close();
+        return;
+      }
       if (!(object instanceof HttpRequest request)) {
         return;
       }
--- a/edge/src/main/java/org/cowslipstair/edge/caller/CallerConnection.java
+++ b/edge/src/main/java/org/cowslipstair/edge/caller/CallerConnection.java
@@ -37,6 +37,15 @@
    */
   private static final long DISCARD_TIMEOUT_MS = 2_000;
 
+  /**
+   * Maximum bytes in which the decoder finds no message; it skips line breaks before a request, and
+   * limits all else itself.
+   */
+  private static final long MAX_UNDECODED_BYTES = 256 * 1024;
+
+  /** Maximum time to read a request, whatever time the caller says that it waits. */
+  private static final long MAX_READ_MS = 60_000;
+
   private final CallerContext callerContext;
   private final MessageQueue queuedMessages = new MessageQueue();
   private final ActiveRequests activeRequests;
@@ -46,6 +55,7 @@
   private @Nullable ScheduledFuture<?> requestTimer;
   private @Nullable ScheduledFuture<?> idleTimer;
   private long idleSinceNs;
+  private long undecodedBytes;
   private boolean bytesReceived;
 
   private enum State {
@@ -92,9 +102,16 @@
     }
   }
 
-  /** Records that bytes arrived, which may not be a complete message yet. */
-  void onBytesReceived() {
+  /**
+   * Records that bytes arrived, which may not be a complete message yet. Returns false if the
+   * caller has sent too many that are not part of a message, or behind the last request.
+   */
+  boolean acceptsBytes(int bytes) {
     bytesReceived = true;
+    undecodedBytes += bytes;
+    boolean isDiscarding = state == State.DISCARDING || state == State.CLOSED;
+    long maxBytes = isDiscarding ? callerContext.bounds().maxBodyBytes() : MAX_UNDECODED_BYTES;
+    return undecodedBytes <= maxBytes;
   }
 
   @Override
@@ -107,10 +124,13 @@
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
-    if (!(message instanceof HttpObject object) || state == State.CLOSED) {
+    if (!(message instanceof HttpObject object)
+        || state == State.DISCARDING
+        || state == State.CLOSED) {
       ReferenceCountUtil.release(message);
       return;
     }
+    undecodedBytes = 0;
     if (queuedMessages.isEmpty() && !mustWait(object)) {
       handle(object, callerContext.nowNs());
       return;
@@ -173,7 +193,8 @@
     if (HttpUtil.is100ContinueExpected(request)) {
       writeContinue();
     }
-    long timeoutMs = newAssembler.deadlineMs().orElse(bounds.idleTimeoutMs());
+    long timeoutMs =
+        Math.min(MAX_READ_MS, newAssembler.deadlineMs().orElse(bounds.idleTimeoutMs()));
     startTimer(() -> rejectRequest(response, HttpResponseStatus.REQUEST_TIMEOUT), timeoutMs);
   }
 
--- a/edge/src/main/java/org/cowslipstair/edge/caller/CallerServer.java
+++ b/edge/src/main/java/org/cowslipstair/edge/caller/CallerServer.java
@@ -1,6 +1,7 @@
 package org.cowslipstair.edge.caller;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -10,6 +11,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
@@ -81,7 +83,10 @@
     channel.close();
   }
 
-  /** Notifies a connection that bytes arrived, before they are decoded. */
+  /**
+   * Notifies a connection that bytes arrived, before they are decoded, and closes it if they are
+   * too many.
+   */
   private static final class ReceivedBytesHandler extends ChannelInboundHandlerAdapter {
     private final CallerConnection connection;
 
@@ -91,8 +96,13 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-      connection.onBytesReceived();
-      context.fireChannelRead(message);
+      int bytes = message instanceof ByteBuf buffer ? buffer.readableBytes() : 0;
+      if (connection.acceptsBytes(bytes)) {
+        context.fireChannelRead(message);
+      } else {
+        ReferenceCountUtil.release(message);
+        context.close();
+      }
     }
   }
 }
--- a/edge/src/main/java/org/cowslipstair/edge/http/JsonClient.java
+++ b/edge/src/main/java/org/cowslipstair/edge/http/JsonClient.java
@@ -26,6 +26,9 @@
  * that times out fails and closes its connection. Used on the event loop only.
  */
 public final class JsonClient {
+  /** Maximum length of a response body; a page of the store has about 1 MB. */
+  private static final int MAX_RESPONSE_BYTES = 8 << 20;
+
   private final EventLoop loop;
   private final ServerConnector connector;
   private final HostPort address;
@@ -120,6 +123,10 @@
 
     @Override
     public void onBodyPart(ByteBuf part) {
+      if (receivedBytes.size() + (long) part.readableBytes() > MAX_RESPONSE_BYTES) {
+        onFailure(new ServerBytesException.Malformed("response is too long"));
+        return;
+      }
       byte[] bytes = new byte[part.readableBytes()];
       part.getBytes(part.readerIndex(), bytes);
       receivedBytes.writeBytes(bytes);
--- a/edge/src/main/java/org/cowslipstair/edge/relay/RelayServer.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/RelayServer.java
@@ -97,8 +97,9 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-      // Subscribers are not expected to send anything.
+      // Subscribers send nothing.
       ReferenceCountUtil.release(message);
+      context.close();
     }
 
     @Override
