Place work by one rule, refuse what would queue in vain, let callers return when there is room

Change: PlacementRule in lib decides, BackendSelection carries out. Own zone whole first; another zone only if it makes the difference between in time and late; hedges stay near; a request that would queue and be late is refused at once; the first response to a probe is awaited for half of the target. Retry-After follows the expected room (ReturnDelay). Failures that a whole service shares leave the ranking alone. Unresponsive servers are left out. A probe costs budget when it is sent.

--- a/edge/src/main/java/org/cowslipstair/edge/backend/Prober.java
+++ b/edge/src/main/java/org/cowslipstair/edge/backend/Prober.java
@@ -83,16 +83,39 @@
     return probeRateLimiter.isScarce(clock.nowNs());
   }
 
-  /** Probes a backend instance at its health path. */
+  /** Probes a backend instance at its health path. Opening a connection costs no probe budget. */
   public void probe(BackendEntry entry, String path, Listener listener) {
-    if (!probeRateLimiter.tryAcquire(clock.nowNs())) {
-      listener.onFailure(ProbeFailure.OVER_BUDGET);
-      return;
-    }
+    entry.stats().recordProbeStart(clock.nowNs());
+    Listener endingListener = new EndingListener(entry, listener);
     table.acquire(
         entry,
-        connection -> send(entry, connection, path, listener),
-        _ -> listener.onFailure(ProbeFailure.UNREACHABLE));
+        connection -> sendWithinBudget(entry, connection, path, endingListener),
+        _ -> endingListener.onFailure(ProbeFailure.UNREACHABLE));
+  }
+
+  private void sendWithinBudget(
+      BackendEntry entry, ServerConnection connection, String path, Listener listener) {
+    if (probeRateLimiter.tryAcquire(clock.nowNs())) {
+      send(entry, connection, path, listener);
+    } else {
+      table.release(entry, connection);
+      listener.onFailure(ProbeFailure.OVER_BUDGET);
+    }
+  }
+
+  /** Records the end of a probe before its result is passed on. */
+  private record EndingListener(BackendEntry entry, Listener listener) implements Listener {
+    @Override
+    public void onResponse(ServerConnection connection, Optional<LoadReport> report) {
+      entry.stats().recordProbeEnd();
+      listener.onResponse(connection, report);
+    }
+
+    @Override
+    public void onFailure(ProbeFailure failure) {
+      entry.stats().recordProbeEnd();
+      listener.onFailure(failure);
+    }
   }
 
   private void send(
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/BackendSelection.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/BackendSelection.java
@@ -2,17 +2,16 @@
 
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.cowslipstair.edge.backend.BackendEntry;
 import org.cowslipstair.edge.backend.Prober;
 import org.cowslipstair.edge.http.ServerConnection;
-import org.cowslipstair.logic.placement.BackendStats;
 import org.cowslipstair.logic.placement.LatencyEstimate;
+import org.cowslipstair.logic.placement.PlacementRule;
 import org.cowslipstair.model.call.NotRunReason;
 import org.cowslipstair.model.config.BackendName;
 import org.cowslipstair.model.config.ServiceName;
@@ -22,38 +21,25 @@
 
 /**
  * Selects a backend server for one send. Probes candidates for their load, in rounds of increasing
- * size, and selects the first one that has a free slot and runs at its usual pace, or else the best
- * one found.
+ * size, those of the own zone first. Selects the first one that has a free slot and runs at its
+ * usual pace, or else the best one found; see {@link PlacementRule}.
  */
 final class BackendSelection {
   /** Number of candidates probed in each round; the last size is repeated. */
   private static final int[] ROUND_SIZES = {1, 2, 4};
 
-  /** Maximum number of probes for one send, normally and while the probe budget is scarce. */
-  private static final int MAX_PROBES = 10;
-
-  private static final int MAX_PROBES_WHEN_SCARCE = 3;
-
   /** Time after which a round ends although responses are missing. */
   private static final long ROUND_TIMEOUT_MS = 15;
 
-  /** A candidate with a free slot and a score up to this is selected at once. */
-  private static final double GOOD_SCORE = 1.6;
-
-  /** A candidate with a score up to this is good enough for a hedge. */
-  private static final double MAX_HEDGE_SCORE = 1.6;
-
   private final ExchangeContext context;
   private final Criteria criteria;
   private final Listener listener;
-  private final List<BackendEntry> candidates;
+  private final PlacementRule rule;
+  private final ProbeCandidates candidates;
   private final List<RankedBackend> rankedBackends = new ArrayList<>();
   private final String healthPath;
   private final double maxColdRequestsPerSecond;
-  private final int maxProbes;
   private @Nullable ScheduledFuture<?> roundTimer;
-  private int nextCandidate;
-  private int probeCount;
   private int pendingProbes;
   private int roundIndex;
   private boolean finished;
@@ -62,20 +48,8 @@
    * Requirements of the selection.
    *
    * @param excluded backend servers that must not be selected
-   * @param serviceTimeNs usual service time of the route
-   * @param targetDeadlineNs monotonic time at which the target latency is reached
-   * @param selectionEndNs monotonic time after which no more candidates are probed
-   * @param deadlineNs monotonic time at which the caller gets a response in any case
-   * @param isHedge whether to select only a backend server that is good enough for a hedge
    */
-  record Criteria(
-      ServiceName service,
-      Set<BackendName> excluded,
-      double serviceTimeNs,
-      long targetDeadlineNs,
-      long selectionEndNs,
-      long deadlineNs,
-      boolean isHedge) {}
+  record Criteria(ServiceName service, Set<BackendName> excluded, PlacementRule rule) {}
 
   /**
    * A selected backend server.
@@ -98,16 +72,22 @@
     /**
      * No backend server can be used.
      *
+     * @param roomInNs expected time until a backend server has room; empty if unknown
      * @param detail load of the candidates, for logs
      */
-    void onNoneSelected(NotRunReason reason, String detail);
+    void onNoneSelected(NotRunReason reason, OptionalLong roomInNs, String detail);
   }
 
   private record RankedBackend(
       BackendEntry entry,
+      boolean isLocal,
       Optional<ServerConnection> connection,
       Optional<LoadReport> load,
-      LatencyEstimate estimate) {}
+      LatencyEstimate estimate) {
+    PlacementRule.Option option() {
+      return new PlacementRule.Option(estimate, isLocal);
+    }
+  }
 
   BackendSelection(ExchangeContext context, Criteria criteria, Listener listener) {
     this.context = context;
@@ -120,48 +100,23 @@
         serviceConfig.map(ServiceConfig::coldRequestsPerSecond).orElse(0.0)
                 * context.settings().coldFactor()
             + context.settings().coldSlack();
-    this.maxProbes = context.prober().isScarce() ? MAX_PROBES_WHEN_SCARCE : MAX_PROBES;
-    this.candidates = candidates();
-  }
-
-  private List<BackendEntry> candidates() {
-    Map<BackendStats, BackendEntry> eligible = new LinkedHashMap<>();
-    context
-        .table()
-        .eligible(criteria.service())
-        .forEach(entry -> eligible.put(entry.stats(), entry));
-    List<BackendEntry> ordered = new ArrayList<>();
-    context
-        .fleet()
-        .order()
-        .order(
-            List.copyOf(eligible.keySet()),
-            criteria.excluded(),
-            stats -> entryOf(eligible, stats).hasIdleConnection(),
-            context.nowNs())
-        .forEach(stats -> ordered.add(entryOf(eligible, stats)));
-    ordered.removeIf(entry -> !canProbe(entry));
-    return ordered;
-  }
-
-  private static BackendEntry entryOf(Map<BackendStats, BackendEntry> entries, BackendStats stats) {
-    BackendEntry entry = entries.get(stats);
-    if (entry == null) {
-      throw new IllegalStateException("statistics without a backend entry");
-    }
-    return entry;
+    this.rule = criteria.rule();
+    this.candidates =
+        new ProbeCandidates(context, criteria.service(), criteria.excluded(), this::canProbe);
   }
 
   /** Starts the first round of probes. */
   void start() {
-    if (candidates.isEmpty()) {
+    if (candidates.size() == 0) {
       finished = true;
       boolean hasNoBackend = context.table().eligible(criteria.service()).isEmpty();
       listener.onNoneSelected(
-          hasNoBackend ? NotRunReason.NO_BACKEND : NotRunReason.BACKEND_UNREACHABLE, detail());
+          hasNoBackend ? NotRunReason.NO_BACKEND : NotRunReason.BACKEND_UNREACHABLE,
+          OptionalLong.empty(),
+          detail());
       return;
     }
-    startRound();
+    startRound(!candidates.hasLocal());
   }
 
   /** Stops the selection; the listener is not called any more. */
@@ -172,15 +127,14 @@
     }
   }
 
-  private void startRound() {
+  private void startRound(boolean inOtherZones) {
     int size = ROUND_SIZES[Math.min(roundIndex, ROUND_SIZES.length - 1)];
     roundIndex++;
     int startedProbes = 0;
     while (startedProbes < size
-        && nextCandidate < candidates.size()
-        && probeCount < maxProbes
+        && (inOtherZones ? candidates.hasInOtherZones() : candidates.hasLocal())
         && !finished) {
-      probe(candidates.get(nextCandidate++));
+      probe(inOtherZones ? candidates.takeInOtherZones() : candidates.takeLocal(), !inOtherZones);
       startedProbes++;
     }
     if (finished) {
@@ -190,12 +144,15 @@
       onRoundEnd();
       return;
     }
+    startRoundTimer();
+  }
+
+  private void startRoundTimer() {
     cancelTimer();
     roundTimer = context.loop().schedule(this::onRoundEnd, ROUND_TIMEOUT_MS, TimeUnit.MILLISECONDS);
   }
 
-  private void probe(BackendEntry entry) {
-    probeCount++;
+  private void probe(BackendEntry entry, boolean isLocal) {
     pendingProbes++;
     context
         .prober()
@@ -206,46 +163,58 @@
               @Override
               public void onResponse(ServerConnection connection, Optional<LoadReport> report) {
                 pendingProbes--;
-                BackendSelection.this.onProbeResponse(entry, connection, report);
+                BackendSelection.this.onProbeResponse(entry, isLocal, connection, report);
               }
 
               @Override
               public void onFailure(Prober.ProbeFailure failure) {
                 pendingProbes--;
-                BackendSelection.this.onProbeFailure(entry, failure);
+                BackendSelection.this.onProbeFailure(entry, isLocal, failure);
               }
             });
   }
 
   private void onProbeResponse(
-      BackendEntry entry, ServerConnection connection, Optional<LoadReport> report) {
+      BackendEntry entry,
+      boolean isLocal,
+      ServerConnection connection,
+      Optional<LoadReport> report) {
     if (finished || !canUse(entry)) {
       context.table().release(entry, connection);
       onProbeFinished();
       return;
     }
     long nowNs = context.nowNs();
+    double failureShare = serviceFailureShare(nowNs);
     LatencyEstimate estimate =
         report
-            .map(load -> LatencyEstimate.fromReport(load, entry.stats(), nowNs))
-            .orElseGet(() -> LatencyEstimate.withoutProbe(entry.stats(), nowNs));
-    RankedBackend backend = new RankedBackend(entry, Optional.of(connection), report, estimate);
+            .map(load -> LatencyEstimate.fromReport(load, entry.stats(), failureShare, nowNs))
+            .orElseGet(() -> LatencyEstimate.withoutProbe(entry.stats(), failureShare, nowNs));
+    RankedBackend backend =
+        new RankedBackend(entry, isLocal, Optional.of(connection), report, estimate);
     rankedBackends.add(backend);
-    if (estimate.hasFreeSlot() && estimate.score() <= GOOD_SCORE) {
+    if (PlacementRule.isGood(estimate)) {
       select(backend);
       return;
     }
     onProbeFinished();
   }
 
-  private void onProbeFailure(BackendEntry entry, Prober.ProbeFailure failure) {
+  private void onProbeFailure(BackendEntry entry, boolean isLocal, Prober.ProbeFailure failure) {
     if (!finished && failure == Prober.ProbeFailure.OVER_BUDGET && canUse(entry)) {
-      LatencyEstimate estimate = LatencyEstimate.withoutProbe(entry.stats(), context.nowNs());
-      rankedBackends.add(new RankedBackend(entry, Optional.empty(), Optional.empty(), estimate));
+      long nowNs = context.nowNs();
+      LatencyEstimate estimate =
+          LatencyEstimate.withoutProbe(entry.stats(), serviceFailureShare(nowNs), nowNs);
+      rankedBackends.add(
+          new RankedBackend(entry, isLocal, Optional.empty(), Optional.empty(), estimate));
     }
     onProbeFinished();
   }
 
+  private double serviceFailureShare(long nowNs) {
+    return context.serviceFailures(criteria.service()).share(nowNs);
+  }
+
   private void onProbeFinished() {
     if (!finished && pendingProbes == 0) {
       onRoundEnd();
@@ -257,47 +226,23 @@
       return;
     }
     long nowNs = context.nowNs();
-    RankedBackend best = best();
-    boolean hasMoreToProbe = nextCandidate < candidates.size() && probeCount < maxProbes;
-    if (best != null
-        && nowNs + best.estimate.total() * criteria.serviceTimeNs()
-            <= criteria.targetDeadlineNs()) {
-      boolean isGoodEnough = !criteria.isHedge() || best.estimate.score() <= MAX_HEDGE_SCORE;
-      if (isGoodEnough && (best.estimate.hasFreeSlot() || !hasMoreToProbe)) {
-        select(best);
-        return;
-      }
-    }
-    if (hasMoreToProbe && nowNs < criteria.selectionEndNs()) {
-      startRound();
-      return;
-    }
-    if (pendingProbes > 0 && nowNs < criteria.selectionEndNs() && best == null) {
-      cancelTimer();
-      roundTimer =
-          context.loop().schedule(this::onRoundEnd, ROUND_TIMEOUT_MS, TimeUnit.MILLISECONDS);
-      return;
-    }
-    selectOrRefuse(best, nowNs);
-  }
-
-  private void selectOrRefuse(@Nullable RankedBackend best, long nowNs) {
-    if (best == null) {
-      refuse(NotRunReason.BACKEND_UNREACHABLE);
-    } else if (criteria.isHedge() && best.estimate.score() > MAX_HEDGE_SCORE) {
-      refuse(NotRunReason.NO_FREE_SLOT);
-    } else if (best.estimate.hasFreeSlot() || best.estimate.canQueue() && isInTime(best, nowNs)) {
-      select(best);
-    } else {
-      refuse(NotRunReason.NO_FREE_SLOT);
-    }
+    Optional<RankedBackend> best = best(nowNs);
+    PlacementRule.Remaining remaining =
+        new PlacementRule.Remaining(
+            candidates.hasLocal(), candidates.hasInOtherZones(), pendingProbes > 0);
+    Runnable step =
+        switch (rule.next(best.map(RankedBackend::option), remaining, nowNs)) {
+          case SELECT -> () -> select(best.orElseThrow());
+          case PROBE_LOCAL -> () -> startRound(false);
+          case PROBE_OTHER_ZONES -> () -> startRound(true);
+          case AWAIT_RESPONSES -> this::startRoundTimer;
+          case REFUSE_NO_ROOM -> () -> refuse(NotRunReason.NO_FREE_SLOT);
+          case REFUSE_UNREACHABLE -> () -> refuse(NotRunReason.BACKEND_UNREACHABLE);
+        };
+    step.run();
   }
 
-  private boolean isInTime(RankedBackend backend, long nowNs) {
-    return nowNs + backend.estimate.total() * criteria.serviceTimeNs() < criteria.deadlineNs();
-  }
-
-  private @Nullable RankedBackend best() {
+  private Optional<RankedBackend> best(long nowNs) {
     RankedBackend best = null;
     for (RankedBackend backend : rankedBackends) {
       boolean isConnectionLost =
@@ -305,11 +250,11 @@
       if (isConnectionLost || !canUse(backend.entry)) {
         continue;
       }
-      if (best == null || backend.estimate.score() < best.estimate.score()) {
+      if (best == null || rule.isBetter(backend.option(), best.option(), nowNs)) {
         best = backend;
       }
     }
-    return best;
+    return Optional.ofNullable(best);
   }
 
   private boolean canProbe(BackendEntry entry) {
@@ -351,7 +296,14 @@
   private void refuse(NotRunReason reason) {
     finish();
     releaseConnectionsExcept(null);
-    listener.onNoneSelected(reason, detail());
+    listener.onNoneSelected(reason, roomInNs(), detail());
+  }
+
+  private OptionalLong roomInNs() {
+    return rankedBackends.stream()
+        .filter(backend -> canUse(backend.entry))
+        .mapToLong(backend -> (long) (backend.estimate.queueTime() * rule.serviceTimeNs()))
+        .min();
   }
 
   private void finish() {
@@ -379,7 +331,7 @@
     StringBuilder text = new StringBuilder();
     text.append("known=").append(context.table().eligible(criteria.service()).size());
     text.append(" candidates=").append(candidates.size());
-    text.append(" asked=").append(probeCount);
+    text.append(" asked=").append(candidates.probeCount());
     text.append(" answered=").append(rankedBackends.size());
     for (RankedBackend backend : rankedBackends) {
       String load =
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
@@ -11,6 +11,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.cowslipstair.edge.backend.BackendEntry;
@@ -18,6 +19,7 @@
 import org.cowslipstair.edge.http.ServerConnection;
 import org.cowslipstair.logic.budget.RetryBudget;
 import org.cowslipstair.logic.invariant.Invariant;
+import org.cowslipstair.logic.placement.PlacementRule;
 import org.cowslipstair.model.call.MayHaveRunReason;
 import org.cowslipstair.model.call.NotRunReason;
 import org.cowslipstair.model.config.BackendName;
@@ -31,22 +33,13 @@
  * route at the latest. Runs on the event loop.
  */
 public final class Exchange implements Attempt.Listener {
-  private static final long NS_PER_MS = 1_000_000L;
-
-  /** Share of the target latency after which no more backend servers are probed. */
-  private static final double SELECTION_TIME_SHARE = 0.125;
-
-  /** Time between this gateway's own response at a deadline and the deadline of the caller. */
-  private static final long CALLER_MARGIN_NS = 20 * NS_PER_MS;
-
   private final ExchangeContext context;
   private final RequestMessage message;
   private final Route route;
   private final ServiceName service;
   private final Responder responder;
   private final RetryBudget retryBudget;
-  private final long deadlineNs;
-  private final long targetDeadlineNs;
+  private final ExchangeDeadlines deadlines;
   private final List<Attempt> activeAttempts = new ArrayList<>();
   private final Set<BackendName> triedBackends = new HashSet<>();
   private final RefusalWriter refusalWriter;
@@ -56,6 +49,7 @@
   private @Nullable Attempt streamedAttempt;
   private MayHaveRunReason lastFailureReason = MayHaveRunReason.CONNECTION_LOST;
   private Attempt.Result.@Nullable CompleteResponse failureResponse;
+  private OptionalLong roomInNs = OptionalLong.empty();
   private String detail = "";
   private int sendCount;
   private int mayHaveRunCount;
@@ -72,16 +66,13 @@
     this.retryBudget = context.retryBudget(service);
     this.refusalWriter = new RefusalWriter(context);
     this.hedgeTimer = new HedgeTimer(context, retryBudget, this::onHedgeDue);
-    long routeDeadlineNs = message.arrivedNs() + route.timeoutMs() * NS_PER_MS;
-    long callerDeadlineNs = message.callerDeadlineNs().orElse(Long.MAX_VALUE);
-    this.deadlineNs = Math.min(routeDeadlineNs, callerDeadlineNs - CALLER_MARGIN_NS);
-    this.targetDeadlineNs = message.arrivedNs() + route.targetLatencyMs() * NS_PER_MS;
+    this.deadlines = ExchangeDeadlines.of(message, route);
   }
 
   /** Starts the timeout and the selection of a backend server. */
   public void start() {
     retryBudget.recordRequest();
-    long remainingNs = deadlineNs - context.nowNs();
+    long remainingNs = deadlines.finalNs() - context.nowNs();
     if (remainingNs <= 0) {
       refuse(new Refusal.NotRun(NotRunReason.DEADLINE_TOO_CLOSE));
       return;
@@ -98,18 +89,9 @@
   }
 
   private void selectBackend(String cause, boolean isHedge) {
-    long nowNs = context.nowNs();
-    long selectionEndNs =
-        message.arrivedNs() + (long) (route.targetLatencyMs() * NS_PER_MS * SELECTION_TIME_SHARE);
+    PlacementRule rule = deadlines.placementRule(serviceTimeNs(), isHedge, context.nowNs());
     BackendSelection.Criteria criteria =
-        new BackendSelection.Criteria(
-            service,
-            Set.copyOf(triedBackends),
-            serviceTimeNs(),
-            targetDeadlineNs,
-            Math.max(selectionEndNs, nowNs),
-            deadlineNs,
-            isHedge);
+        new BackendSelection.Criteria(service, Set.copyOf(triedBackends), rule);
     BackendSelection newSelection =
         new BackendSelection(
             context,
@@ -130,8 +112,10 @@
               }
 
               @Override
-              public void onNoneSelected(NotRunReason reason, String selectionDetail) {
+              public void onNoneSelected(
+                  NotRunReason reason, OptionalLong newRoomInNs, String selectionDetail) {
                 selection = null;
+                roomInNs = newRoomInNs;
                 detail = selectionDetail;
                 Exchange.this.onNoBackendSelected(reason, isHedge);
               }
@@ -170,7 +154,7 @@
   private void send(BackendSelection.Selected selected, ServerConnection connection, String cause) {
     BackendEntry entry = selected.entry();
     long nowNs = context.nowNs();
-    if (!context.table().acceptsRequests(entry) || nowNs >= deadlineNs) {
+    if (!context.table().acceptsRequests(entry) || nowNs >= deadlines.finalNs()) {
       context.table().release(entry, connection);
       onNoBackendSelected(NotRunReason.NO_BACKEND, !activeAttempts.isEmpty());
       return;
@@ -183,12 +167,16 @@
     sendCount++;
     mayHaveRunCount++;
     triedBackends.add(entry.stats().instance().name());
+    roomInNs =
+        selected.load().filter(load -> load.total() < load.slots()).isPresent()
+            ? OptionalLong.of(0)
+            : OptionalLong.empty();
     Attempt attempt = new Attempt(context, entry, connection, this);
     activeAttempts.add(attempt);
-    context.reportSent(message, selected, cause, deadlineNs);
-    attempt.send(message, deadlineNs);
+    context.reportSent(message, selected, cause, deadlines.finalNs());
+    attempt.send(message, deadlines.finalNs());
     if (route.kind().isRepeatable() && sendCount < route.maxAttempts()) {
-      hedgeTimer.start(serviceTimeNs(), targetDeadlineNs);
+      hedgeTimer.start(serviceTimeNs(), deadlines.targetNs());
     }
   }
 
@@ -211,7 +199,7 @@
     if (mayHaveRunCount > 0) {
       failAfterSend();
     } else {
-      refuse(new Refusal.NotRun(reason));
+      refuse(new Refusal.NotRun(reason, roomInNs));
     }
   }
 
@@ -229,10 +217,7 @@
     boolean isSuccess =
         result instanceof Attempt.Result.CompleteResponse(var head, _)
             && !AttemptResults.isFailure(head);
-    attempt
-        .entry()
-        .stats()
-        .recordOutcome(isSuccess || result instanceof Attempt.Result.StreamCompleted, nowNs);
+    recordOutcome(attempt, isSuccess || result instanceof Attempt.Result.StreamCompleted, nowNs);
     if (finished) {
       AttemptResults.release(result);
       return;
@@ -258,6 +243,11 @@
     }
   }
 
+  private void recordOutcome(Attempt attempt, boolean success, long nowNs) {
+    attempt.entry().stats().recordOutcome(success, nowNs);
+    context.serviceFailures(service).record(success, nowNs);
+  }
+
   private void onResponse(Attempt attempt, Attempt.Result.CompleteResponse response) {
     HttpResponse head = response.head();
     if (AttemptResults.isFailure(head)) {
@@ -292,11 +282,11 @@
       return;
     }
     boolean isAllowed = route.kind().isRepeatable() || mayHaveRunCount == 0;
-    boolean isInTime = context.nowNs() < deadlineNs;
+    boolean isInTime = context.nowNs() < deadlines.finalNs();
     if (isAllowed && isInTime && sendCount < route.maxAttempts() && retryBudget.tryAcquireRetry()) {
       selectBackend("retry", false);
     } else if (mayHaveRunCount == 0) {
-      refuse(new Refusal.NotRun(reason));
+      refuse(new Refusal.NotRun(reason, roomInNs));
     } else {
       failAfterSend();
     }
@@ -317,7 +307,7 @@
       return;
     }
     long nowNs = context.nowNs();
-    activeAttempts.forEach(attempt -> attempt.entry().stats().recordOutcome(false, nowNs));
+    activeAttempts.forEach(attempt -> recordOutcome(attempt, false, nowNs));
     if (streamedAttempt != null) {
       responder.abort();
       finish("broken", HttpResponseStatus.GATEWAY_TIMEOUT.code());
@@ -332,7 +322,8 @@
     if (refusal instanceof Refusal.NotRun && mayHaveRunCount > 0) {
       context.reportViolation(Invariant.NOT_RUN_WAS_NOT_SENT, message, mayHaveRunCount);
     }
-    long callerRemainingNs = message.callerDeadlineNs().orElse(deadlineNs) - context.nowNs();
+    long callerRemainingNs =
+        message.callerDeadlineNs().orElse(deadlines.finalNs()) - context.nowNs();
     refusalWriter.write(responder, refusal, message.requestId(), callerRemainingNs);
     finish(refusal.reasonName(), refusal.status().code());
   }
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
@@ -17,6 +17,7 @@
 import org.cowslipstair.logic.invariant.InvariantMonitor;
 import org.cowslipstair.logic.invariant.Violation;
 import org.cowslipstair.logic.placement.CandidateOrder;
+import org.cowslipstair.logic.placement.FailureAverage;
 import org.cowslipstair.logic.placement.ServiceTimes;
 import org.cowslipstair.model.config.ServiceName;
 import org.cowslipstair.model.traffic.Route;
@@ -26,8 +27,12 @@
 public final class ExchangeContext {
   private static final long NS_PER_MS = 1_000_000L;
 
+  /** Weight of the newest outcome in the failure average of a service. */
+  private static final double SERVICE_OUTCOME_WEIGHT = 0.1;
+
   private final Dependencies dependencies;
   private final Map<ServiceName, RetryBudget> retryBudgets = new HashMap<>();
+  private final Map<ServiceName, FailureAverage> serviceFailures = new HashMap<>();
   private final Map<String, WeightedServiceSelector> serviceSelectors = new HashMap<>();
   private final ServiceTimes serviceTimes = new ServiceTimes();
 
@@ -103,6 +108,12 @@
     return serviceTimes;
   }
 
+  /** Returns the average of the failures of all backend servers of a service. */
+  FailureAverage serviceFailures(ServiceName service) {
+    return serviceFailures.computeIfAbsent(
+        service, _ -> new FailureAverage(SERVICE_OUTCOME_WEIGHT, nowNs()));
+  }
+
   RetryBudget retryBudget(ServiceName service) {
     RetryBudget budget = retryBudgets.computeIfAbsent(service, this::newRetryBudget);
     int gateways = dependencies.fleet().gateways().get().size();
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Refusal.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Refusal.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Locale;
+import java.util.OptionalLong;
 import org.cowslipstair.model.call.MayHaveRunReason;
 import org.cowslipstair.model.call.NotRunReason;
 
@@ -13,8 +14,18 @@
   /** Returns the reason for headers, logs and metrics, in lower case. */
   String reasonName();
 
-  /** The request has not run and will not run. */
-  record NotRun(NotRunReason reason) implements Refusal {
+  /**
+   * The request has not run and will not run.
+   *
+   * @param roomInNs expected time until the request could run, 0 if it could already; empty if
+   *     unknown
+   */
+  record NotRun(NotRunReason reason, OptionalLong roomInNs) implements Refusal {
+    /** Creates a refusal of which it is not known when the request could run. */
+    public NotRun(NotRunReason reason) {
+      this(reason, OptionalLong.empty());
+    }
+
     @Override
     public HttpResponseStatus status() {
       return reason == NotRunReason.NO_ROUTE
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/RefusalWriter.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/RefusalWriter.java
@@ -9,25 +9,21 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalLong;
+import org.cowslipstair.logic.overload.ReturnDelay;
 import org.cowslipstair.model.call.CallHeaders;
 
 /** Writes the responses that this gateway generates itself. */
 public final class RefusalWriter {
-  /** Bounds of the random delay in the Retry-After header. */
-  private static final double MIN_RETRY_AFTER_SECONDS = 0.1;
-
-  private static final double MAX_RETRY_AFTER_SECONDS = 0.5;
-
-  /** Maximum Retry-After delay as a share of the time that the caller still waits. */
-  private static final double MAX_CALLER_TIME_SHARE = 0.3;
-
   private static final double NS_PER_SECOND = 1e9;
 
   private final ExchangeContext context;
+  private final ReturnDelay returnDelay;
 
   /** Creates a writer. */
   public RefusalWriter(ExchangeContext context) {
     this.context = context;
+    this.returnDelay = new ReturnDelay(context.random());
   }
 
   /**
@@ -46,8 +42,9 @@
           case Refusal.MayHaveRun _ -> CallHeaders.MAY_HAVE_RUN;
         };
     headers.set(CallHeaders.OUTCOME, outcome);
-    if (refusal.status().code() == HttpResponseStatus.SERVICE_UNAVAILABLE.code()) {
-      headers.set(HttpHeaderNames.RETRY_AFTER, retryAfter(callerRemainingNs));
+    if (refusal instanceof Refusal.NotRun notRun
+        && refusal.status().code() == HttpResponseStatus.SERVICE_UNAVAILABLE.code()) {
+      headers.set(HttpHeaderNames.RETRY_AFTER, retryAfter(notRun.roomInNs(), callerRemainingNs));
     }
     String json =
         "{\"title\":\"%s\",\"status\":%d,\"reason\":\"%s\"}"
@@ -56,12 +53,8 @@
     responder.writeResponse(refusal.status(), headers, body);
   }
 
-  private String retryAfter(long callerRemainingNs) {
-    double waitSeconds =
-        MIN_RETRY_AFTER_SECONDS
-            + context.random().nextDouble() * (MAX_RETRY_AFTER_SECONDS - MIN_RETRY_AFTER_SECONDS);
-    double maxWaitSeconds =
-        Math.max(0.02, callerRemainingNs / NS_PER_SECOND * MAX_CALLER_TIME_SHARE);
-    return String.format(Locale.ROOT, "%.2f", Math.min(waitSeconds, maxWaitSeconds));
+  private String retryAfter(OptionalLong roomInNs, long callerRemainingNs) {
+    double seconds = returnDelay.delayNs(roomInNs, callerRemainingNs) / NS_PER_SECOND;
+    return String.format(Locale.ROOT, "%.3f", seconds);
   }
 }
--- a/lib/src/main/java/org/cowslipstair/logic/placement/BackendStats.java
+++ b/lib/src/main/java/org/cowslipstair/logic/placement/BackendStats.java
@@ -12,9 +12,6 @@
   /** Weight of the newest outcome in the failure average; about the last six outcomes count. */
   private static final double OUTCOME_WEIGHT = 0.3;
 
-  /** Time after which the failure average has decayed to half. */
-  private static final double FAILURE_HALF_LIFE_NS = 3e9;
-
   /** Backoff after the first failed connection; doubles with each further failure. */
   private static final long INITIAL_BACKOFF_NS = 250_000_000L;
 
@@ -27,17 +24,24 @@
    */
   private static final long MAX_REPORT_AGE_NS = 200_000_000L;
 
+  /**
+   * Time without a response to a probe after which a backend server is not probed again until the
+   * probe has ended; usually a response takes a few milliseconds.
+   */
+  private static final long MAX_PROBE_WAIT_NS = 100_000_000L;
+
   private static final long MAX_BACKOFF_NS = 2_000_000_000L;
 
+  private final FailureAverage failures;
   private BackendInstance instance;
   private int inFlight;
-  private double failureAverage;
-  private long failureAverageAtNs;
   private int unreachableCount;
   private long backoffUntilNs;
   private long coldUntilNs;
   private boolean hasProbeResponse;
   private long probeResponseNs;
+  private int pendingProbes;
+  private long unansweredSinceNs;
   private boolean healthy = true;
   private Optional<LoadReport> report = Optional.empty();
   private long reportNs;
@@ -48,7 +52,7 @@
     this.instance = instance;
     this.coldUntilNs = instance.coldUntilNs();
     this.backoffUntilNs = nowNs;
-    this.failureAverageAtNs = nowNs;
+    this.failures = new FailureAverage(OUTCOME_WEIGHT, nowNs);
   }
 
   /** Returns the backend instance. */
@@ -64,6 +68,24 @@
     instance = newer;
   }
 
+  /** Records that a probe was started, including the opening of its connection. */
+  public void recordProbeStart(long nowNs) {
+    if (pendingProbes == 0) {
+      unansweredSinceNs = nowNs;
+    }
+    pendingProbes++;
+  }
+
+  /** Records that a probe ended, with or without a response. */
+  public void recordProbeEnd() {
+    pendingProbes--;
+  }
+
+  /** Returns whether a probe has been waiting for a response for too long. */
+  public boolean isUnresponsive(long nowNs) {
+    return pendingProbes > 0 && nowNs - unansweredSinceNs > MAX_PROBE_WAIT_NS;
+  }
+
   /**
    * Records the response to a probe.
    *
@@ -73,6 +95,7 @@
   public void recordProbe(boolean isHealthy, long newColdUntilNs, long nowNs) {
     hasProbeResponse = true;
     probeResponseNs = nowNs;
+    unansweredSinceNs = nowNs;
     healthy = isHealthy;
     coldUntilNs = newColdUntilNs;
     unreachableCount = 0;
@@ -114,9 +137,7 @@
 
   /** Records whether a request succeeded. */
   public void recordOutcome(boolean success, long nowNs) {
-    double previous = failureShare(nowNs);
-    failureAverage = previous + OUTCOME_WEIGHT * ((success ? 0 : 1) - previous);
-    failureAverageAtNs = nowNs;
+    failures.record(success, nowNs);
   }
 
   /** Records that no connection could be opened or that a probe timed out. */
@@ -151,7 +172,7 @@
 
   /** Returns the share of recent requests that failed, between 0 and 1; it decays over time. */
   public double failureShare(long nowNs) {
-    return failureAverage * Math.pow(0.5, (nowNs - failureAverageAtNs) / FAILURE_HALF_LIFE_NS);
+    return failures.share(nowNs);
   }
 
   /** Returns the number of unfinished requests sent from here. */
--- a/lib/src/main/java/org/cowslipstair/logic/placement/LatencyEstimate.java
+++ b/lib/src/main/java/org/cowslipstair/logic/placement/LatencyEstimate.java
@@ -29,8 +29,9 @@
   private static final double COLD_SLOWDOWN = 2.0;
 
   /**
-   * Weight of the failure share: a backend server that fails half of its requests has a score 4
-   * times as high.
+   * Weight of the failure share beyond that of the whole service: a backend server that fails half
+   * of its requests while the others fail none has a score 4 times as high. What all backend
+   * servers of a service fail alike is no reason to prefer one over another.
    */
   private static final double FAILURE_WEIGHT = 6.0;
 
@@ -55,8 +56,13 @@
     return total() * failurePenalty;
   }
 
-  /** Estimates the duration from a load report that has just been received. */
-  public static LatencyEstimate fromReport(LoadReport load, BackendStats stats, long nowNs) {
+  /**
+   * Estimates the duration from a load report that has just been received.
+   *
+   * @param serviceFailureShare share of the recent requests to the service that failed
+   */
+  public static LatencyEstimate fromReport(
+      LoadReport load, BackendStats stats, double serviceFailureShare, long nowNs) {
     int slots = Math.max(1, load.slots());
     double pace = 1 + (Math.max(0.2, load.slowdownFactor()) - 1) * PACE_WEIGHT;
     boolean hasFreeSlot = load.total() < slots;
@@ -67,32 +73,45 @@
     double queueTime =
         hasFreeSlot ? 0 : (load.total() - slots + 1.0) / slots * pace * utilizationSlowdown;
     return new LatencyEstimate(
-        serviceTime, queueTime, failurePenalty(stats, nowNs), hasFreeSlot, load.waiting() < slots);
+        serviceTime,
+        queueTime,
+        failurePenalty(stats, serviceFailureShare, nowNs),
+        hasFreeSlot,
+        load.waiting() < slots);
   }
 
   /**
    * Estimates the duration for a backend server that has not been probed, from its last recent load
    * report or, without one, from the request counts of this gateway.
+   *
+   * @param serviceFailureShare share of the recent requests to the service that failed
    */
-  public static LatencyEstimate withoutProbe(BackendStats stats, long nowNs) {
+  public static LatencyEstimate withoutProbe(
+      BackendStats stats, double serviceFailureShare, long nowNs) {
     return stats
         .recentReport(nowNs)
-        .map(report -> fromReport(report, stats, nowNs))
-        .orElseGet(() -> fromOwnCounts(stats, nowNs));
+        .map(report -> fromReport(report, stats, serviceFailureShare, nowNs))
+        .orElseGet(() -> fromOwnCounts(stats, serviceFailureShare, nowNs));
   }
 
-  private static LatencyEstimate fromOwnCounts(BackendStats stats, long nowNs) {
+  private static LatencyEstimate fromOwnCounts(
+      BackendStats stats, double serviceFailureShare, long nowNs) {
     int slots = Math.max(1, stats.instance().slots());
     boolean hasFreeSlot = stats.inFlight() < slots;
     double queueTime = hasFreeSlot ? 0.5 * stats.inFlight() : 1.0 + stats.inFlight() - slots;
     double serviceTime = stats.isCold(nowNs) ? COLD_SLOWDOWN : 1;
     boolean canQueue = stats.inFlight() < 2 * slots;
     return new LatencyEstimate(
-        serviceTime, queueTime, failurePenalty(stats, nowNs), hasFreeSlot, canQueue);
+        serviceTime,
+        queueTime,
+        failurePenalty(stats, serviceFailureShare, nowNs),
+        hasFreeSlot,
+        canQueue);
   }
 
-  private static double failurePenalty(BackendStats stats, long nowNs) {
-    double factor = 1 + FAILURE_WEIGHT * stats.failureShare(nowNs);
+  private static double failurePenalty(BackendStats stats, double serviceFailureShare, long nowNs) {
+    double excessShare = Math.max(0, stats.failureShare(nowNs) - serviceFailureShare);
+    double factor = 1 + FAILURE_WEIGHT * excessShare;
     return stats.isHealthy() ? factor : factor * UNHEALTHY_FACTOR;
   }
 }
--- /dev/null
+++ b/lib/src/main/java/org/cowslipstair/logic/placement/PlacementRule.java
@@ -0,0 +1,155 @@
+package org.cowslipstair.logic.placement;
+
+import java.util.Optional;
+
+/**
+ * Decides for one request which backend server it is sent to, and when enough of them have been
+ * probed. A server of the gateway's own zone comes first as long as the request is expected to be
+ * in time there; a server of another zone is preferred only if it makes the difference between in
+ * time and late. A hedge leaves its zone only if no server there can take it.
+ *
+ * @param serviceTimeNs usual service time of the route
+ * @param targetDeadlineNs monotonic time at which the target latency is reached
+ * @param selectionEndNs monotonic time after which the best backend server found is selected
+ * @param responseWaitEndNs monotonic time until which the first response to a probe is awaited
+ * @param deadlineNs monotonic time at which the caller gets a response in any case
+ * @param isHedge whether the request is already running on another backend server
+ */
+public record PlacementRule(
+    double serviceTimeNs,
+    long targetDeadlineNs,
+    long selectionEndNs,
+    long responseWaitEndNs,
+    long deadlineNs,
+    boolean isHedge) {
+  /** A backend server with a free slot and a score up to this is selected at once. */
+  private static final double GOOD_SCORE = 1.6;
+
+  /**
+   * Factor on the expected duration of a request that has to queue, since the pace of the backend
+   * server changes until it starts.
+   */
+  private static final double QUEUE_UNCERTAINTY = 1.5;
+
+  /** Expected outcome of a request on a backend server, best first. */
+  public enum Prospect {
+    /** The response is expected within the target latency. */
+    IN_TIME,
+    /** The response is expected before the deadline. */
+    LATE,
+    /** A slot is free, but the response is not expected before the deadline. */
+    UNLIKELY,
+    /** The backend server has no room. */
+    NO_ROOM
+  }
+
+  /** What to do next. */
+  public enum Step {
+    /** Send the request to the best backend server. */
+    SELECT,
+    /** Probe backend servers of the own zone. */
+    PROBE_LOCAL,
+    /** Probe backend servers of other zones. */
+    PROBE_OTHER_ZONES,
+    /** Wait for responses to probes. */
+    AWAIT_RESPONSES,
+    /** Refuse the request: no backend server has room. */
+    REFUSE_NO_ROOM,
+    /** Refuse the request: no backend server has responded. */
+    REFUSE_UNREACHABLE
+  }
+
+  /** A backend server that the request could be sent to. */
+  public record Option(LatencyEstimate estimate, boolean isLocal) {}
+
+  /**
+   * What has not been tried yet.
+   *
+   * @param hasLocal whether backend servers of the own zone can be probed
+   * @param hasInOtherZones whether backend servers of other zones can be probed
+   * @param hasPendingProbes whether responses are missing
+   */
+  public record Remaining(boolean hasLocal, boolean hasInOtherZones, boolean hasPendingProbes) {}
+
+  /** Returns whether a backend server is so good that no others need to be probed. */
+  public static boolean isGood(LatencyEstimate estimate) {
+    return estimate.hasFreeSlot() && estimate.score() <= GOOD_SCORE;
+  }
+
+  /** Returns what to do, given the best backend server found so far, if any. */
+  public Step next(Optional<Option> best, Remaining remaining, long nowNs) {
+    if (best.filter(option -> isGoodEnough(option.estimate, nowNs)).isPresent()) {
+      return Step.SELECT;
+    }
+    boolean hasTime = nowNs < (best.isEmpty() ? responseWaitEndNs : selectionEndNs);
+    if (hasTime && remaining.hasLocal) {
+      return Step.PROBE_LOCAL;
+    }
+    if (hasTime && remaining.hasInOtherZones && canBeBetterInOtherZone(best, nowNs)) {
+      return Step.PROBE_OTHER_ZONES;
+    }
+    if (hasTime && remaining.hasPendingProbes && best.isEmpty()) {
+      return Step.AWAIT_RESPONSES;
+    }
+    if (best.isEmpty()) {
+      return Step.REFUSE_UNREACHABLE;
+    }
+    return isWorthSending(best.get().estimate, nowNs) ? Step.SELECT : Step.REFUSE_NO_ROOM;
+  }
+
+  /**
+   * Returns whether sending the request is better than refusing it. A request that would queue and
+   * still be late is refused: in the queue it would make others late too, while its caller can
+   * return when there is room.
+   */
+  private boolean isWorthSending(LatencyEstimate estimate, long nowNs) {
+    return isHedge
+        ? isGood(estimate)
+        : estimate.hasFreeSlot() || prospect(estimate, nowNs) == Prospect.IN_TIME;
+  }
+
+  private boolean isGoodEnough(LatencyEstimate estimate, long nowNs) {
+    return estimate.hasFreeSlot()
+        && (!isHedge || isGood(estimate))
+        && prospect(estimate, nowNs) == Prospect.IN_TIME;
+  }
+
+  /** Returns what is expected of a request that is sent now. */
+  public Prospect prospect(LatencyEstimate estimate, long nowNs) {
+    boolean hasRoom = estimate.hasFreeSlot() || estimate.canQueue();
+    double uncertainty = estimate.hasFreeSlot() ? 1 : QUEUE_UNCERTAINTY;
+    if (hasRoom && nowNs + estimate.score() * uncertainty * serviceTimeNs <= targetDeadlineNs) {
+      return Prospect.IN_TIME;
+    }
+    if (hasRoom && nowNs + estimate.total() * serviceTimeNs < deadlineNs) {
+      return Prospect.LATE;
+    }
+    return estimate.hasFreeSlot() ? Prospect.UNLIKELY : Prospect.NO_ROOM;
+  }
+
+  /** Returns whether the first backend server is preferred over the second one. */
+  public boolean isBetter(Option first, Option second, long nowNs) {
+    int firstPreference = preference(prospect(first.estimate, nowNs), first.isLocal);
+    int secondPreference = preference(prospect(second.estimate, nowNs), second.isLocal);
+    return firstPreference == secondPreference
+        ? first.estimate.score() < second.estimate.score()
+        : firstPreference < secondPreference;
+  }
+
+  /** Returns whether a backend server of another zone could be preferred over the best one. */
+  private boolean canBeBetterInOtherZone(Optional<Option> best, long nowNs) {
+    return best.isEmpty()
+        || preference(prospect(best.get().estimate, nowNs), best.get().isLocal)
+            > preference(Prospect.IN_TIME, false);
+  }
+
+  /** Preference of a backend server; the lowest value is preferred. */
+  private int preference(Prospect prospect, boolean isLocal) {
+    return switch (prospect) {
+      case IN_TIME -> isLocal ? 0 : isHedge ? 2 : 1;
+      case LATE -> isLocal ? isHedge ? 1 : 2 : 3;
+      case UNLIKELY -> isLocal ? 4 : 5;
+      case NO_ROOM -> isLocal ? 6 : 7;
+    };
+  }
+}
--- a/lib/src/test/java/org/cowslipstair/logic/placement/BackendRankingTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/placement/BackendRankingTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.closeTo;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
@@ -44,7 +45,7 @@
   private static LatencyEstimate estimate(
       BackendStats stats, int running, int waiting, double slowdownFactor) {
     return LatencyEstimate.fromReport(
-        new LoadReport(running, waiting, 3, slowdownFactor), stats, SECOND_NS);
+        new LoadReport(running, waiting, 3, slowdownFactor), stats, 0, SECOND_NS);
   }
 
   @Test
@@ -63,12 +64,13 @@
     BackendStats stats = stats("b", LOCAL_ZONE.value());
     stats.recordLoadReport(new LoadReport(2, 0, 3, 1), SECOND_NS);
     long soonAfterNs = SECOND_NS + SECOND_NS / 10;
-    assertThat(LatencyEstimate.withoutProbe(stats, soonAfterNs).hasFreeSlot(), is(true));
+    assertThat(LatencyEstimate.withoutProbe(stats, 0, soonAfterNs).hasFreeSlot(), is(true));
     stats.recordRequestStart();
-    assertThat(LatencyEstimate.withoutProbe(stats, soonAfterNs).hasFreeSlot(), is(false));
+    assertThat(LatencyEstimate.withoutProbe(stats, 0, soonAfterNs).hasFreeSlot(), is(false));
     stats.recordLoadReport(new LoadReport(3, 4, 3, 1), soonAfterNs);
-    assertThat(LatencyEstimate.withoutProbe(stats, soonAfterNs).canQueue(), is(false));
-    assertThat(LatencyEstimate.withoutProbe(stats, soonAfterNs + SECOND_NS).canQueue(), is(true));
+    assertThat(LatencyEstimate.withoutProbe(stats, 0, soonAfterNs).canQueue(), is(false));
+    assertThat(
+        LatencyEstimate.withoutProbe(stats, 0, soonAfterNs + SECOND_NS).canQueue(), is(true));
   }
 
   @Test
@@ -81,6 +83,17 @@
     assertThat(stats.failureShare(30 * SECOND_NS), lessThan(0.001));
   }
 
+  /** All servers of a service shed half of what they get, seen on scale-1 of two deployments. */
+  @Test
+  void failuresThatAllBackendsOfAServiceShareDoNotIncreaseTheScore() {
+    BackendStats stats = stats("b", LOCAL_ZONE.value());
+    stats.recordOutcome(false, SECOND_NS);
+    LoadReport idle = new LoadReport(0, 0, 3, 1);
+    LatencyEstimate shared = LatencyEstimate.fromReport(idle, stats, 0.5, SECOND_NS);
+    assertThat(shared.score(), closeTo(1, 0.001));
+    assertThat(LatencyEstimate.fromReport(idle, stats, 0.05, SECOND_NS).score(), greaterThan(2.0));
+  }
+
   @Test
   void unhealthyBackendGetsAHigherScore() {
     BackendStats stats = stats("b", LOCAL_ZONE.value());
@@ -134,15 +147,13 @@
     CandidateOrder order = new CandidateOrder("g", LOCAL_ZONE, new Random(1));
     int connectedFirst = 0;
     for (int i = 0; i < 1_000; i++) {
-      List<String> ordered =
-          names(
-              order.order(
-                  candidates,
-                  Set.of(),
-                  r -> r.instance().name().value().endsWith("open"),
-                  SECOND_NS));
-      assertThat(Set.copyOf(ordered.subList(0, 2)), is(Set.of("open", "near")));
-      connectedFirst += ordered.getFirst().equals("open") ? 1 : 0;
+      CandidateOrder.Candidates ordered =
+          order.order(
+              candidates, Set.of(), r -> r.instance().name().value().endsWith("open"), SECOND_NS);
+      List<String> local = names(ordered.local());
+      assertThat(Set.copyOf(local), is(Set.of("open", "near")));
+      assertThat(Set.copyOf(names(ordered.others())), is(Set.of("far", "far-open")));
+      connectedFirst += local.getFirst().equals("open") ? 1 : 0;
     }
     assertThat(connectedFirst, greaterThan(800));
     assertThat("the one that is not connected never comes first", connectedFirst, lessThan(950));
@@ -157,9 +168,10 @@
             stats("up", LOCAL_ZONE.value()));
     candidates.get(1).recordUnreachable(SECOND_NS);
     CandidateOrder order = new CandidateOrder("g", LOCAL_ZONE, new Random(1));
-    List<BackendStats> ordered =
+    CandidateOrder.Candidates ordered =
         order.order(candidates, Set.of(new BackendName("tried")), _ -> true, SECOND_NS);
-    assertThat(names(ordered), contains("up"));
+    assertThat(names(ordered.local()), contains("up"));
+    assertThat(ordered.others(), is(empty()));
   }
 
   @Test
@@ -174,11 +186,26 @@
     assertThat(first, is(not(second)));
   }
 
+  /** A service of the large deployment: 20 backend servers in the own zone, 77 in four others. */
+  @Test
+  void allBackendsOfTheOwnZoneAreLocalCandidates() {
+    List<BackendStats> candidates = new ArrayList<>();
+    for (int i = 0; i < 97; i++) {
+      candidates.add(stats("b-" + i, i < 20 ? LOCAL_ZONE.value() : "other-" + i % 4));
+    }
+    CandidateOrder.Candidates ordered =
+        new CandidateOrder("g-1", LOCAL_ZONE, new Random(1))
+            .order(candidates, Set.of(), _ -> false, SECOND_NS);
+    assertThat(Set.copyOf(ordered.local()), is(Set.copyOf(candidates.subList(0, 20))));
+    assertThat(ordered.others().size(), is(77));
+  }
+
   private static Set<String> firstCandidates(String gateway, List<BackendStats> candidates) {
     CandidateOrder order = new CandidateOrder(gateway, LOCAL_ZONE, new Random(1));
     Set<String> firstNames = new HashSet<>();
     for (int i = 0; i < 200; i++) {
-      firstNames.add(names(order.order(candidates, Set.of(), _ -> false, SECOND_NS)).getFirst());
+      List<BackendStats> local = order.order(candidates, Set.of(), _ -> false, SECOND_NS).local();
+      firstNames.add(names(local).getFirst());
     }
     return firstNames;
   }
