Do not hash every backend server and gateway for every request

Each selection hashed the names of all 97 servers of the service and sorted all of them, and each use of a cold server hashed the names of all 152 gateways, in code that runs a few hundred times a process and stays interpreted. Change: hashes and ranks are remembered; servers of other zones are ordered only when the own zone does not do.

--- a/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
+++ b/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
@@ -188,7 +188,10 @@
     }
     TrafficState state = stateCache.state(components.clock().nowNs());
     table.update(state);
-    gatewayNames = stateCache.gateways().stream().map(GatewayEntry::name).toList();
+    List<String> newNames = stateCache.gateways().stream().map(GatewayEntry::name).toList();
+    if (!newNames.equals(gatewayNames)) {
+      gatewayNames = newNames;
+    }
     table.setGatewayCount(gatewayNames.size());
     probeRateLimiter.setShare(Math.max(1, state.backends().size()), gatewayNames.size());
     if (!configurationLoaded && stateCache.isComplete()) {
--- a/edge/src/main/java/org/cowslipstair/edge/backend/BackendEntry.java
+++ b/edge/src/main/java/org/cowslipstair/edge/backend/BackendEntry.java
@@ -4,10 +4,11 @@
 import java.util.Deque;
 import org.cowslipstair.edge.http.ServerConnection;
 import org.cowslipstair.logic.placement.BackendStats;
+import org.cowslipstair.logic.placement.CandidateOrder;
 import org.jspecify.annotations.Nullable;
 
 /** One backend instance with its idle connections. Used on the event loop only. */
-public final class BackendEntry {
+public final class BackendEntry implements CandidateOrder.Candidate {
   /** Share of a server's keep-alive timeout after which an idle connection is no longer used. */
   private static final double KEEP_ALIVE_SHARE = 0.8;
 
@@ -24,6 +25,7 @@
   }
 
   /** Returns the statistics of the backend instance. */
+  @Override
   public BackendStats stats() {
     return stats;
   }
@@ -60,6 +62,7 @@
   }
 
   /** Returns whether there is an idle connection. */
+  @Override
   public boolean hasIdleConnection() {
     return !idleConnections.isEmpty();
   }
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/BackendSelection.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/BackendSelection.java
@@ -107,7 +107,7 @@
 
   /** Starts the first round of probes. */
   void start() {
-    if (candidates.size() == 0) {
+    if (candidates.isEmpty()) {
       finished = true;
       boolean hasNoBackend = context.table().eligible(criteria.service()).isEmpty();
       listener.onNoneSelected(
@@ -132,9 +132,9 @@
     roundIndex++;
     int startedProbes = 0;
     while (startedProbes < size
-        && (inOtherZones ? candidates.hasInOtherZones() : candidates.hasLocal())
+        && (inOtherZones ? candidates.hasOthers() : candidates.hasLocal())
         && !finished) {
-      probe(inOtherZones ? candidates.takeInOtherZones() : candidates.takeLocal(), !inOtherZones);
+      probe(inOtherZones ? candidates.takeOther() : candidates.takeLocal(), !inOtherZones);
       startedProbes++;
     }
     if (finished) {
@@ -229,7 +229,7 @@
     Optional<RankedBackend> best = best(nowNs);
     PlacementRule.Remaining remaining =
         new PlacementRule.Remaining(
-            candidates.hasLocal(), candidates.hasInOtherZones(), pendingProbes > 0);
+            candidates.hasLocal(), candidates.hasOthers(), pendingProbes > 0);
     Runnable step =
         switch (rule.next(best.map(RankedBackend::option), remaining, nowNs)) {
           case SELECT -> () -> select(best.orElseThrow());
@@ -330,7 +330,6 @@
   private String detail() {
     StringBuilder text = new StringBuilder();
     text.append("known=").append(context.table().eligible(criteria.service()).size());
-    text.append(" candidates=").append(candidates.size());
     text.append(" asked=").append(candidates.probeCount());
     text.append(" answered=").append(rankedBackends.size());
     for (RankedBackend backend : rankedBackends) {
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/ProbeCandidates.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/ProbeCandidates.java
@@ -2,18 +2,20 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
 import org.cowslipstair.edge.backend.BackendEntry;
-import org.cowslipstair.logic.placement.BackendStats;
 import org.cowslipstair.logic.placement.CandidateOrder;
 import org.cowslipstair.model.config.BackendName;
 import org.cowslipstair.model.config.ServiceName;
+import org.jspecify.annotations.Nullable;
 
-/** Backend servers that may still be probed for one send, and how many probes are left for them. */
+/**
+ * Backend servers that may still be probed for one send, and how many probes are left for them.
+ * Those of other zones are ordered only when they are needed: there are many, and most requests
+ * find a backend server in their own zone.
+ */
 final class ProbeCandidates {
   /** Maximum number of probes for one send, normally and while the probe budget is scarce. */
   private static final int MAX_PROBES = 10;
@@ -23,11 +25,15 @@
   /** Share of the probes for the own zone, if there are candidates in other zones. */
   private static final double LOCAL_PROBES_SHARE = 0.7;
 
+  private final CandidateOrder order;
+  private final List<BackendEntry> eligible;
+  private final Set<BackendName> excluded;
+  private final Predicate<BackendEntry> canProbe;
+  private final long nowNs;
   private final Deque<BackendEntry> local;
-  private final Deque<BackendEntry> others;
-  private final int size;
   private final int maxProbes;
   private final int maxLocalProbes;
+  private @Nullable Deque<BackendEntry> others;
   private int probeCount;
 
   /**
@@ -41,50 +47,35 @@
       ServiceName service,
       Set<BackendName> excluded,
       Predicate<BackendEntry> canProbe) {
-    Map<BackendStats, BackendEntry> eligible = new LinkedHashMap<>();
-    context.table().eligible(service).forEach(entry -> eligible.put(entry.stats(), entry));
-    CandidateOrder.Candidates ordered =
-        context
-            .fleet()
-            .order()
-            .order(
-                List.copyOf(eligible.keySet()),
-                excluded,
-                stats -> entryOf(eligible, stats).hasIdleConnection(),
-                context.nowNs());
-    this.local = usable(ordered.local(), eligible, canProbe);
-    this.others = usable(ordered.others(), eligible, canProbe);
-    this.size = local.size() + others.size();
+    this.order = context.fleet().order();
+    this.eligible = context.table().eligible(service);
+    this.excluded = excluded;
+    this.canProbe = canProbe;
+    this.nowNs = context.nowNs();
+    this.local = usable(order.local(eligible, excluded, nowNs));
     this.maxProbes = context.prober().isScarce() ? MAX_PROBES_WHEN_SCARCE : MAX_PROBES;
     this.maxLocalProbes =
-        others.isEmpty() ? maxProbes : (int) Math.ceil(maxProbes * LOCAL_PROBES_SHARE);
+        eligible.stream().allMatch(order::isLocal)
+            ? maxProbes
+            : (int) Math.ceil(maxProbes * LOCAL_PROBES_SHARE);
   }
 
-  private static Deque<BackendEntry> usable(
-      List<BackendStats> ordered,
-      Map<BackendStats, BackendEntry> eligible,
-      Predicate<BackendEntry> canProbe) {
-    Deque<BackendEntry> usable = new ArrayDeque<>();
-    for (BackendStats stats : ordered) {
-      BackendEntry entry = entryOf(eligible, stats);
-      if (canProbe.test(entry)) {
-        usable.add(entry);
-      }
-    }
+  private Deque<BackendEntry> usable(List<BackendEntry> ordered) {
+    Deque<BackendEntry> usable = new ArrayDeque<>(ordered);
+    usable.removeIf(canProbe.negate());
     return usable;
   }
 
-  private static BackendEntry entryOf(Map<BackendStats, BackendEntry> entries, BackendStats stats) {
-    BackendEntry entry = entries.get(stats);
-    if (entry == null) {
-      throw new IllegalStateException("statistics without a backend entry");
+  private Deque<BackendEntry> others() {
+    if (others == null) {
+      others = usable(order.others(eligible, excluded, nowNs));
     }
-    return entry;
+    return others;
   }
 
-  /** Returns the number of backend servers that could be probed initially. */
-  int size() {
-    return size;
+  /** Returns whether no backend server can be probed. */
+  boolean isEmpty() {
+    return local.isEmpty() && others().isEmpty();
   }
 
   /** Returns the number of probes taken so far. */
@@ -97,9 +88,9 @@
     return !local.isEmpty() && probeCount < maxLocalProbes;
   }
 
-  /** Returns whether a backend server of another zone can be probed. */
-  boolean hasInOtherZones() {
-    return !others.isEmpty() && probeCount < maxProbes;
+  /** Returns whether a backend server can be probed that comes after those of the own zone. */
+  boolean hasOthers() {
+    return probeCount < maxProbes && !others().isEmpty();
   }
 
   /** Takes the next backend server of the own zone. */
@@ -108,9 +99,9 @@
     return local.remove();
   }
 
-  /** Takes the next backend server of another zone. */
-  BackendEntry takeInOtherZones() {
+  /** Takes the next backend server that comes after those of the own zone. */
+  BackendEntry takeOther() {
     probeCount++;
-    return others.remove();
+    return others().remove();
   }
 }
--- a/lib/src/main/java/org/cowslipstair/logic/budget/ColdSendLimiter.java
+++ b/lib/src/main/java/org/cowslipstair/logic/budget/ColdSendLimiter.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.cowslipstair.logic.invariant.Invariant;
 import org.cowslipstair.logic.invariant.InvariantMonitor;
@@ -33,9 +34,14 @@
   /** Number of tracked backend servers at which entries with an elapsed interval are removed. */
   private static final int PRUNING_THRESHOLD = 64;
 
+  /** Number of remembered ranks at which all are forgotten; backend servers come and go. */
+  private static final int MAX_RANKS = 1_024;
+
   private final String self;
   private final InvariantMonitor monitor;
   private final Map<BackendName, Long> lastSentAtNs = new HashMap<>();
+  private final Map<BackendName, Integer> ranks = new HashMap<>();
+  private Collection<String> rankedGateways = List.of();
   private long sentCount;
 
   /**
@@ -53,7 +59,7 @@
    *
    * @param requestsPerSecond requests that the cold backend server can handle in any one second
    * @param gateways names of all known gateways, including this one; empty if unknown, then nothing
-   *     may be sent
+   *     may be sent; must be immutable
    */
   public boolean maySend(
       BackendName backend, double requestsPerSecond, Collection<String> gateways, long nowNs) {
@@ -89,7 +95,16 @@
     }
   }
 
+  /** The rank is remembered, since it takes a hash for each gateway of the fleet. */
   private int rankOfSelf(BackendName backend, Collection<String> gateways) {
+    if (gateways != rankedGateways || ranks.size() > MAX_RANKS) {
+      rankedGateways = gateways;
+      ranks.clear();
+    }
+    return ranks.computeIfAbsent(backend, name -> computeRankOfSelf(name, gateways));
+  }
+
+  private int computeRankOfSelf(BackendName backend, Collection<String> gateways) {
     long ownWeight = weight(backend, self);
     int rank = 0;
     for (String gateway : gateways) {
--- a/lib/src/test/java/org/cowslipstair/logic/overload/model/ModelGateway.java
+++ b/lib/src/test/java/org/cowslipstair/logic/overload/model/ModelGateway.java
@@ -44,7 +44,7 @@
   private final Policy policy;
   private final Result result;
   private final List<ModelServer> servers;
-  private final List<BackendStats> stats = new ArrayList<>();
+  private final List<Known> known = new ArrayList<>();
   private final int zone;
   private final CandidateOrder order;
   private final RetryBudget budget;
@@ -85,7 +85,14 @@
               0,
               1,
               1);
-      stats.add(new BackendStats(instance, 0));
+      known.add(new Known(i, new BackendStats(instance, 0)));
+    }
+  }
+
+  private record Known(int server, BackendStats stats) implements CandidateOrder.Candidate {
+    @Override
+    public boolean hasIdleConnection() {
+      return true;
     }
   }
 
@@ -143,7 +150,7 @@
       result.sends++;
       result.hedges += isHedge ? 1 : 0;
       result.otherZone += servers.get(server).zone == zone ? 0 : 1;
-      tried.add(stats.get(server).instance().name());
+      tried.add(known.get(server).stats().instance().name());
       long sentMs = simulation.nowMs();
       servers.get(server).accept(ran -> onDone(server, ran, sentMs, roomInNs));
       if (attempts == 1) {
@@ -160,7 +167,7 @@
     private void onDone(int server, boolean ran, long sentMs, OptionalLong roomInNs) {
       long nowNs = simulation.nowNs();
       active--;
-      stats.get(server).recordOutcome(ran, nowNs);
+      known.get(server).stats().recordOutcome(ran, nowNs);
       failures.record(ran, nowNs);
       if (finished) {
         return;
@@ -211,10 +218,9 @@
     Selection(Exchange exchange, PlacementRule rule) {
       this.exchange = exchange;
       this.rule = rule;
-      CandidateOrder.Candidates ordered =
-          order.order(stats, exchange.tried, _ -> true, simulation.nowNs());
-      ordered.local().forEach(candidate -> local.add(stats.indexOf(candidate)));
-      ordered.others().forEach(candidate -> others.add(stats.indexOf(candidate)));
+      long nowNs = simulation.nowNs();
+      order.local(known, exchange.tried, nowNs).forEach(entry -> local.add(entry.server));
+      order.others(known, exchange.tried, nowNs).forEach(entry -> others.add(entry.server));
     }
 
     void round(boolean inOtherZones) {
@@ -232,7 +238,7 @@
         LoadReport load = servers.get(server).report();
         double share = policy.sharesFailures() ? failures.share(simulation.nowNs()) : 0;
         LatencyEstimate estimate =
-            LatencyEstimate.fromReport(load, stats.get(server), share, simulation.nowNs());
+            LatencyEstimate.fromReport(load, known.get(server).stats(), share, simulation.nowNs());
         boolean isLocal = servers.get(server).zone == zone;
         found.add(new Candidate(server, load, new PlacementRule.Option(estimate, isLocal)));
         if (PlacementRule.isGood(estimate)) {
@@ -246,15 +252,16 @@
       result.probesThatGotNoResponse++;
       if (!policy.skipsUnresponsive()) {
         simulation.schedule(
-            PROBE_TIMEOUT_MS, () -> stats.get(server).recordUnreachable(simulation.nowNs()));
+            PROBE_TIMEOUT_MS,
+            () -> known.get(server).stats().recordUnreachable(simulation.nowNs()));
         return;
       }
-      stats.get(server).recordProbeStart(simulation.nowNs());
+      known.get(server).stats().recordProbeStart(simulation.nowNs());
       simulation.schedule(
           PROBE_TIMEOUT_MS,
           () -> {
-            stats.get(server).recordProbeEnd();
-            stats.get(server).recordUnreachable(simulation.nowNs());
+            known.get(server).stats().recordProbeEnd();
+            known.get(server).stats().recordUnreachable(simulation.nowNs());
           });
     }
 
--- a/lib/src/test/java/org/cowslipstair/logic/placement/BackendRankingTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/placement/BackendRankingTest.java
@@ -132,27 +132,32 @@
     assertThat(stats.isCold(2 * SECOND_NS), is(false));
   }
 
-  private static List<String> names(List<BackendStats> candidates) {
-    return candidates.stream().map(stats -> stats.instance().name().value()).toList();
+  private record Server(BackendStats stats, boolean hasIdleConnection)
+      implements CandidateOrder.Candidate {}
+
+  private static Server server(String name, String zone) {
+    return new Server(stats(name, zone), name.endsWith("open"));
+  }
+
+  private static List<String> names(List<Server> candidates) {
+    return candidates.stream().map(server -> server.stats().instance().name().value()).toList();
   }
 
   @Test
   void ownZoneComesFirstAndIdleConnectionsAreFavored() {
-    List<BackendStats> candidates =
+    List<Server> candidates =
         List.of(
-            stats("far", "other"),
-            stats("near", LOCAL_ZONE.value()),
-            stats("open", LOCAL_ZONE.value()),
-            stats("far-open", "other"));
+            server("far", "other"),
+            server("near", LOCAL_ZONE.value()),
+            server("open", LOCAL_ZONE.value()),
+            server("far-open", "other"));
     CandidateOrder order = new CandidateOrder("g", LOCAL_ZONE, new Random(1));
     int connectedFirst = 0;
     for (int i = 0; i < 1_000; i++) {
-      CandidateOrder.Candidates ordered =
-          order.order(
-              candidates, Set.of(), r -> r.instance().name().value().endsWith("open"), SECOND_NS);
-      List<String> local = names(ordered.local());
+      List<String> local = names(order.local(candidates, Set.of(), SECOND_NS));
       assertThat(Set.copyOf(local), is(Set.of("open", "near")));
-      assertThat(Set.copyOf(names(ordered.others())), is(Set.of("far", "far-open")));
+      List<String> others = names(order.others(candidates, Set.of(), SECOND_NS));
+      assertThat(Set.copyOf(others), is(Set.of("far", "far-open")));
       connectedFirst += local.getFirst().equals("open") ? 1 : 0;
     }
     assertThat(connectedFirst, greaterThan(800));
@@ -161,24 +166,38 @@
 
   @Test
   void excludedAndUnreachableBackendsAreSkipped() {
-    List<BackendStats> candidates =
+    List<Server> candidates =
         List.of(
-            stats("tried", LOCAL_ZONE.value()),
-            stats("down", LOCAL_ZONE.value()),
-            stats("up", LOCAL_ZONE.value()));
-    candidates.get(1).recordUnreachable(SECOND_NS);
+            server("tried", LOCAL_ZONE.value()),
+            server("down", LOCAL_ZONE.value()),
+            server("up", LOCAL_ZONE.value()));
+    candidates.get(1).stats().recordUnreachable(SECOND_NS);
+    CandidateOrder order = new CandidateOrder("g", LOCAL_ZONE, new Random(1));
+    Set<BackendName> excluded = Set.of(new BackendName("tried"));
+    assertThat(names(order.local(candidates, excluded, SECOND_NS)), contains("up"));
+    assertThat(order.others(candidates, excluded, SECOND_NS), is(empty()));
+  }
+
+  /** The servers of a zone lose power: the first probes of each hang until a timeout. */
+  @Test
+  void backendsThatDoNotRespondComeLast() {
+    List<Server> candidates = List.of(server("silent", LOCAL_ZONE.value()), server("far", "other"));
+    BackendStats silent = candidates.getFirst().stats();
     CandidateOrder order = new CandidateOrder("g", LOCAL_ZONE, new Random(1));
-    CandidateOrder.Candidates ordered =
-        order.order(candidates, Set.of(new BackendName("tried")), _ -> true, SECOND_NS);
-    assertThat(names(ordered.local()), contains("up"));
-    assertThat(ordered.others(), is(empty()));
+    silent.recordProbeStart(SECOND_NS);
+    assertThat(names(order.local(candidates, Set.of(), SECOND_NS)), contains("silent"));
+    long laterNs = SECOND_NS + SECOND_NS / 4;
+    assertThat(order.local(candidates, Set.of(), laterNs), is(empty()));
+    assertThat(names(order.others(candidates, Set.of(), laterNs)), contains("far", "silent"));
+    silent.recordProbeEnd();
+    assertThat(names(order.local(candidates, Set.of(), laterNs)), contains("silent"));
   }
 
   @Test
   void gatewaysPreferDifferentSubsetsOfALargeZone() {
-    List<BackendStats> candidates = new ArrayList<>();
+    List<Server> candidates = new ArrayList<>();
     for (int i = 0; i < 40; i++) {
-      candidates.add(stats("b-" + i, LOCAL_ZONE.value()));
+      candidates.add(server("b-" + i, LOCAL_ZONE.value()));
     }
     Set<String> first = firstCandidates("g-1", candidates);
     Set<String> second = firstCandidates("g-2", candidates);
@@ -189,23 +208,21 @@
   /** A service of the large deployment: 20 backend servers in the own zone, 77 in four others. */
   @Test
   void allBackendsOfTheOwnZoneAreLocalCandidates() {
-    List<BackendStats> candidates = new ArrayList<>();
+    List<Server> candidates = new ArrayList<>();
     for (int i = 0; i < 97; i++) {
-      candidates.add(stats("b-" + i, i < 20 ? LOCAL_ZONE.value() : "other-" + i % 4));
+      candidates.add(server("b-" + i, i < 20 ? LOCAL_ZONE.value() : "other-" + i % 4));
     }
-    CandidateOrder.Candidates ordered =
-        new CandidateOrder("g-1", LOCAL_ZONE, new Random(1))
-            .order(candidates, Set.of(), _ -> false, SECOND_NS);
-    assertThat(Set.copyOf(ordered.local()), is(Set.copyOf(candidates.subList(0, 20))));
-    assertThat(ordered.others().size(), is(77));
+    CandidateOrder order = new CandidateOrder("g-1", LOCAL_ZONE, new Random(1));
+    List<Server> local = order.local(candidates, Set.of(), SECOND_NS);
+    assertThat(Set.copyOf(local), is(Set.copyOf(candidates.subList(0, 20))));
+    assertThat(order.others(candidates, Set.of(), SECOND_NS).size(), is(77));
   }
 
-  private static Set<String> firstCandidates(String gateway, List<BackendStats> candidates) {
+  private static Set<String> firstCandidates(String gateway, List<Server> candidates) {
     CandidateOrder order = new CandidateOrder(gateway, LOCAL_ZONE, new Random(1));
     Set<String> firstNames = new HashSet<>();
     for (int i = 0; i < 200; i++) {
-      List<BackendStats> local = order.order(candidates, Set.of(), _ -> false, SECOND_NS).local();
-      firstNames.add(names(local).getFirst());
+      firstNames.add(names(order.local(candidates, Set.of(), SECOND_NS)).getFirst());
     }
     return firstNames;
   }
