Send the whole last response to slow callers, and bound responses nobody reads

Cause, found by reading the change for pipelining: the timer that ends a connection after its last response started when the response was queued, so that a caller that read more slowly than two seconds lost the rest; and a caller that pipelined without reading made responses pile up without a bound. Change: the timer starts when everything has been sent (LingeringClose); no request is started while the caller does not read.

--- a/edge/src/main/java/org/cowslipstair/edge/caller/CallerConnection.java
+++ b/edge/src/main/java/org/cowslipstair/edge/caller/CallerConnection.java
@@ -1,10 +1,8 @@
 package org.cowslipstair.edge.caller;
 
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
@@ -31,12 +29,6 @@
 final class CallerConnection extends ChannelInboundHandlerAdapter {
   private static final long NS_PER_MS = 1_000_000L;
 
-  /**
-   * Maximum time for which bytes behind the last request are read and discarded. Closing with
-   * unread bytes would reset the connection and could destroy the response.
-   */
-  private static final long DISCARD_TIMEOUT_MS = 2_000;
-
   /**
    * Maximum bytes in which the decoder finds no message; it skips line breaks before a request, and
    * limits all else itself.
@@ -142,11 +134,13 @@
   }
 
   private boolean mustWait(HttpObject object) {
-    return object instanceof HttpRequest request
-        && state == State.IDLE
-        && !responses().isEmpty()
-        && !responses().isClosing()
-        && !canForwardBesideOthers(request);
+    if (!(object instanceof HttpRequest request)
+        || state != State.IDLE
+        || responses().isClosing()) {
+      return false;
+    }
+    boolean isCallerReading = responses().context().channel().isWritable();
+    return !isCallerReading || !responses().isEmpty() && !canForwardBesideOthers(request);
   }
 
   private boolean canForwardBesideOthers(HttpRequest request) {
@@ -288,25 +282,11 @@
     }
   }
 
-  /**
-   * Closes the connection for writing once everything written has been sent, and discards what the
-   * caller has sent meanwhile.
-   */
   private void closeGracefully() {
     state = State.CLOSED;
     stopTimer();
     queuedMessages.clear();
-    ChannelHandlerContext context = responses().context();
-    context.channel().config().setAutoRead(true);
-    context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(_ -> closeOutput(context.channel()));
-    schedule(context::close, DISCARD_TIMEOUT_MS);
-  }
-
-  private void closeOutput(Channel channel) {
-    callerContext.connectionClosed(this);
-    if (channel instanceof SocketChannel socket) {
-      socket.shutdownOutput();
-    }
+    LingeringClose.start(responses().context(), () -> callerContext.connectionClosed(this));
   }
 
   private void close() {
@@ -374,6 +354,9 @@
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext context) {
     responses().onWritabilityChanged();
+    if (state != State.CLOSED) {
+      handleQueuedMessages();
+    }
   }
 
   @Override
--- a/edge/src/test/java/org/cowslipstair/edge/PipeliningTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/PipeliningTest.java
@@ -22,6 +22,7 @@
 final class PipeliningTest {
   private static final long WAIT_SECONDS = 20;
   private static final int NOT_EXECUTED_CHECK_MS = 200;
+  private static final long SLOW_CALLER_PAUSE_MS = 3_500;
   private static final int MAX_BODY_BYTES = 1 << 20;
   private final GatewayFixture fixture;
   private final RawClient client;
@@ -273,4 +274,29 @@
     assertThat(client.readResponse().body(), is("short"));
     assertThat(client.send(safe("four")).body(), is("short"));
   }
+
+  /** The last response of a connection is read more slowly than what follows is discarded. */
+  @Test
+  void slowCallerGetsTheWholeLastResponse() throws IOException, InterruptedException {
+    String longBody = "x".repeat(16 << 20);
+    fixture.backends.forEach(backend -> backend.script(ScriptedBackend.Script.ok(longBody)));
+    client.write(safe("one").replace("X-Id", "Connection: close\r\nX-Id"));
+    TimeUnit.MILLISECONDS.sleep(SLOW_CALLER_PAUSE_MS);
+    RawClient.Response response = client.readResponse();
+    assertThat(response.complete(), is(true));
+    assertThat(response.body().equals(longBody), is(true));
+  }
+
+  @Test
+  void slowCallerGetsTheWholeLastBufferedResponse() throws IOException, InterruptedException {
+    String body = "x".repeat(200 * 1024);
+    fixture.backends.forEach(backend -> backend.script(ScriptedBackend.Script.ok(body)));
+    int count = 100;
+    String last = safe("last").replace("X-Id", "Connection: close\r\nX-Id");
+    client.write(safe("id").repeat(count) + last);
+    TimeUnit.MILLISECONDS.sleep(SLOW_CALLER_PAUSE_MS);
+    for (int i = 0; i <= count; i++) {
+      assertThat(client.readResponse().complete(), is(true));
+    }
+  }
 }
