Refuse at once while the event loop is behind, and await probes no longer than before

Cause: waiting for the first response to a probe for half of the target made the windows after a loss of all machines worse. Test: LoopDelayTest.

--- a/adapters/src/main/java/org/cowslipstair/adapters/http/Problem.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/http/Problem.java
@@ -73,6 +73,7 @@
           DEADLINE_TOO_CLOSE,
           BACKEND_SHED,
           BACKEND_UNREACHABLE,
+          GATEWAY_BUSY,
           GATEWAY_STOPPING,
           GATEWAY_ISOLATED,
           NO_CONFIGURATION,
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
@@ -77,6 +77,10 @@
       refuse(new Refusal.NotRun(NotRunReason.DEADLINE_TOO_CLOSE));
       return;
     }
+    if (deadlines.isMissedByDelay(context.loopDelayNs())) {
+      refuse(new Refusal.NotRun(NotRunReason.GATEWAY_BUSY));
+      return;
+    }
     timeoutTimer = context.loop().schedule(this::onTimeout, remainingNs, TimeUnit.NANOSECONDS);
     selectBackend("first", false);
   }
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.cowslipstair.edge.FrontSettings;
@@ -16,6 +17,7 @@
 import org.cowslipstair.logic.invariant.Invariant;
 import org.cowslipstair.logic.invariant.InvariantMonitor;
 import org.cowslipstair.logic.invariant.Violation;
+import org.cowslipstair.logic.overload.LoopDelay;
 import org.cowslipstair.logic.placement.CandidateOrder;
 import org.cowslipstair.logic.placement.FailureAverage;
 import org.cowslipstair.logic.placement.ServiceTimes;
@@ -27,6 +29,9 @@
 public final class ExchangeContext {
   private static final long NS_PER_MS = 1_000_000L;
 
+  /** Delay of the timers that measure how far the event loop is behind. */
+  private static final long LOOP_DELAY_TIMER_MS = 10;
+
   /** Weight of the newest outcome in the failure average of a service. */
   private static final double SERVICE_OUTCOME_WEIGHT = 0.1;
 
@@ -35,6 +40,8 @@
   private final Map<ServiceName, FailureAverage> serviceFailures = new HashMap<>();
   private final Map<String, WeightedServiceSelector> serviceSelectors = new HashMap<>();
   private final ServiceTimes serviceTimes = new ServiceTimes();
+  private final LoopDelay loopDelay = new LoopDelay();
+  private boolean isMeasuringLoopDelay;
 
   /** Creates a context. */
   public ExchangeContext(Dependencies dependencies) {
@@ -108,6 +115,23 @@
     return serviceTimes;
   }
 
+  /** Returns how far the event loop is behind, and starts the next measurement. */
+  long loopDelayNs() {
+    if (!isMeasuringLoopDelay) {
+      isMeasuringLoopDelay = true;
+      long dueNs = nowNs() + LOOP_DELAY_TIMER_MS * NS_PER_MS;
+      loop()
+          .schedule(
+              () -> {
+                isMeasuringLoopDelay = false;
+                loopDelay.record(dueNs, nowNs());
+              },
+              LOOP_DELAY_TIMER_MS,
+              TimeUnit.MILLISECONDS);
+    }
+    return loopDelay.delayNs(nowNs());
+  }
+
   /** Returns the average of the failures of all backend servers of a service. */
   FailureAverage serviceFailures(ServiceName service) {
     return serviceFailures.computeIfAbsent(
--- a/lib/src/main/java/org/cowslipstair/logic/call/RetryAfter.java
+++ b/lib/src/main/java/org/cowslipstair/logic/call/RetryAfter.java
@@ -25,6 +25,7 @@
           DEADLINE_TOO_CLOSE,
           BACKEND_SHED,
           BACKEND_UNREACHABLE,
+          GATEWAY_BUSY,
           GATEWAY_STOPPING,
           GATEWAY_ISOLATED,
           NO_CONFIGURATION,
--- a/lib/src/main/java/org/cowslipstair/logic/placement/PlacementRule.java
+++ b/lib/src/main/java/org/cowslipstair/logic/placement/PlacementRule.java
@@ -10,8 +10,8 @@
  *
  * @param serviceTimeNs usual service time of the route
  * @param targetDeadlineNs monotonic time at which the target latency is reached
- * @param selectionEndNs monotonic time after which the best backend server found is selected
- * @param responseWaitEndNs monotonic time until which the first response to a probe is awaited
+ * @param selectionEndNs monotonic time after which the best backend server found is selected, or
+ *     the request is refused if there is none
  * @param deadlineNs monotonic time at which the caller gets a response in any case
  * @param isHedge whether the request is already running on another backend server
  */
@@ -19,7 +19,6 @@
     double serviceTimeNs,
     long targetDeadlineNs,
     long selectionEndNs,
-    long responseWaitEndNs,
     long deadlineNs,
     boolean isHedge) {
   /** A backend server with a free slot and a score up to this is selected at once. */
@@ -81,7 +80,7 @@
     if (best.filter(option -> isGoodEnough(option.estimate, nowNs)).isPresent()) {
       return Step.SELECT;
     }
-    boolean hasTime = nowNs < (best.isEmpty() ? responseWaitEndNs : selectionEndNs);
+    boolean hasTime = nowNs < selectionEndNs;
     if (hasTime && remaining.hasLocal) {
       return Step.PROBE_LOCAL;
     }
