Allow heads up to the configured limit before bytes without a message end a connection

Cause, found by reading: the bound of 256 KiB on bytes in which the decoder finds no message did not follow the limit on heads, which the configuration may set higher.

--- a/edge/src/main/java/org/cowslipstair/edge/caller/CallerConnection.java
+++ b/edge/src/main/java/org/cowslipstair/edge/caller/CallerConnection.java
@@ -30,10 +30,10 @@
   private static final long NS_PER_MS = 1_000_000L;
 
   /**
-   * Maximum bytes in which the decoder finds no message; it skips line breaks before a request, and
-   * limits all else itself.
+   * Maximum bytes beyond a head in which the decoder finds no message; it skips line breaks before
+   * a request, and limits all else itself.
    */
-  private static final long MAX_UNDECODED_BYTES = 256 * 1024;
+  private static final long MAX_SKIPPED_BYTES = 256 * 1024;
 
   /** Maximum time to read a request, whatever time the caller says that it waits. */
   private static final long MAX_READ_MS = 60_000;
@@ -102,8 +102,10 @@
     bytesReceived = true;
     undecodedBytes += bytes;
     boolean isDiscarding = state == State.DISCARDING || state == State.CLOSED;
-    long maxBytes = isDiscarding ? callerContext.bounds().maxBodyBytes() : MAX_UNDECODED_BYTES;
-    return undecodedBytes <= maxBytes;
+    CallerBounds bounds = callerContext.bounds();
+    long maxUndecodedBytes =
+        isDiscarding ? bounds.maxBodyBytes() : bounds.maxHeadBytes() + MAX_SKIPPED_BYTES;
+    return undecodedBytes <= maxUndecodedBytes;
   }
 
   @Override
