Rebuild the table of backend servers only when something has changed

Change: the cache tells whether what arrived was new; only then is the table rebuilt. Test: TrafficStateCacheTest.changesThatArriveTwiceAreNewOnce.

--- a/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
@@ -323,8 +323,9 @@
     long nowNs = components.clock().nowNs();
     switch (message) {
       case RelayMessage.Snapshot(var collection, long revision, var items) -> {
-        stateCache.replace(collection, items, revision, nowNs, 0);
-        onChange.run();
+        if (stateCache.replace(collection, items, revision, nowNs, 0)) {
+          onChange.run();
+        }
       }
       case RelayMessage.Update(var collection, var changes, long graceMs) ->
           apply(collection, changes, graceMs * NS_PER_MS);
@@ -353,9 +354,10 @@
   }
 
   private void apply(Collection collection, ObjectFeed.Changes changes, long graceNs) {
-    stateCache.apply(collection, changes, components.clock().nowNs(), graceNs);
-    scheduleRefresh(graceNs);
-    onChange.run();
+    if (stateCache.apply(collection, changes, components.clock().nowNs(), graceNs)) {
+      scheduleRefresh(graceNs);
+      onChange.run();
+    }
   }
 
   /**
--- a/lib/src/main/java/org/cowslipstair/logic/traffic/TrafficStateCache.java
+++ b/lib/src/main/java/org/cowslipstair/logic/traffic/TrafficStateCache.java
@@ -54,23 +54,28 @@
    *
    * @param graceNs time for which missing backend servers are retained as unconfirmed; 0 to remove
    *     them at once
+   * @return whether anything has changed
    */
-  public void replace(
+  public boolean replace(
       Collection collection, List<Item> newItems, long revision, long nowNs, long graceNs) {
-    if (revision < revisions.getOrDefault(collection, 0L)) {
-      return;
+    long previousRevision = revisions.getOrDefault(collection, 0L);
+    if (revision < previousRevision) {
+      return false;
     }
+    boolean hasChanged = revision > previousRevision;
     revisions.put(collection, revision);
     Set<String> names = new HashSet<>();
     for (Item item : newItems) {
       names.add(item.name());
-      put(collection, item);
+      hasChanged |= put(collection, item);
     }
     for (String name : List.copyOf(itemsOf(collection).keySet())) {
       if (!names.contains(name)) {
         remove(collection, name, nowNs, graceNs);
+        hasChanged = true;
       }
     }
+    return hasChanged;
   }
 
   /**
@@ -79,26 +84,29 @@
    *
    * @param graceNs time for which deleted backend servers are retained as unconfirmed; 0 to remove
    *     them at once
+   * @return whether the changes were new
    */
-  public void apply(Collection collection, Changes changes, long nowNs, long graceNs) {
+  public boolean apply(Collection collection, Changes changes, long nowNs, long graceNs) {
     if (changes.revision() <= revisions.getOrDefault(collection, 0L)) {
-      return;
+      return false;
     }
     revisions.put(collection, changes.revision());
     changes.items().forEach(item -> put(collection, item));
     changes.deleted().forEach(name -> remove(collection, name, nowNs, graceNs));
+    return true;
   }
 
-  private void put(Collection collection, Item item) {
+  /** Stores an item; returns false if it or a newer one was stored already. */
+  private boolean put(Collection collection, Item item) {
     Map<String, Item> itemsByName = itemsOf(collection);
     Item previous = itemsByName.get(item.name());
     if (previous != null && previous.revision() >= item.revision()) {
-      return;
+      return false;
     }
     if (item.content() instanceof Content.Unreadable(String reason)) {
       faults.add(new Fault(collection, item.name(), reason));
       if (collection == Collection.CONFIGURATION) {
-        return;
+        return true;
       }
     }
     boolean isReplayed =
@@ -112,6 +120,7 @@
     if (item.content() instanceof Content.Plan(TrafficPlan newPlan)) {
       updatePlan(newPlan);
     }
+    return true;
   }
 
   private void forgetGatewaysIf(Collection changed) {
--- a/lib/src/test/java/org/cowslipstair/logic/traffic/TrafficStateCacheTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/traffic/TrafficStateCacheTest.java
@@ -84,6 +84,20 @@
     assertThat(eligibleCount(0), is(1));
   }
 
+  /** Each gateway is supplied by two others, which send the same. */
+  @Test
+  void changesThatArriveTwiceAreNewOnce() {
+    List<Item> items = List.of(backend("b", 2, false));
+    assertThat(stateCache.replace(Collection.BACKENDS, items, 2, 0, 0), is(true));
+    assertThat(stateCache.replace(Collection.BACKENDS, items, 2, 0, 0), is(false));
+    assertThat(stateCache.replace(Collection.BACKENDS, List.of(), 1, 0, 0), is(false));
+    Changes changes = new Changes(List.of(backend("b", 3, true)), Set.of(), 3);
+    assertThat(stateCache.apply(Collection.BACKENDS, changes, 0, 0), is(true));
+    assertThat(stateCache.apply(Collection.BACKENDS, changes, 0, 0), is(false));
+    assertThat(stateCache.replace(Collection.BACKENDS, List.of(), 3, 0, 0), is(true));
+    assertThat(eligibleCount(0), is(0));
+  }
+
   @Test
   void leavingBackendIsNotEligible() {
     stateCache.replace(Collection.BACKENDS, List.of(backend("b", 2, false)), 2, 0, 0);
