Log and count rate limits that backend servers name, and what they get meanwhile

The logs of the incident could not tell whether probes add to the requests over the limit, since no line or metric names a probed server and nothing reads the header. A gateway now logs when a server begins, changes or ends its limit; the state dump and the metrics count the requests and probes sent from here while the limit was known. Decides nothing.

--- a/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
+++ b/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
@@ -177,6 +177,15 @@
     metrics.registerGauge("probes.sent", probeRateLimiter::acquiredCount);
     metrics.registerGauge("probes.over.budget", probeRateLimiter::refusedCount);
     metrics.registerGauge("cold.sends", coldSendLimiter::sentCount);
+    metrics.registerGauge(
+        "backends.limited",
+        () -> table.entries().stream().filter(e -> e.stats().rateLimit().isPresent()).count());
+    metrics.registerGauge(
+        "limited.requests.sent",
+        () -> table.entries().stream().mapToLong(e -> e.stats().limitedRequestCount()).sum());
+    metrics.registerGauge(
+        "limited.probes.sent",
+        () -> table.entries().stream().mapToLong(e -> e.stats().limitedProbeCount()).sum());
     metrics.registerGauge("relay.subscribers", stateSync::subscriberCount);
     metrics.registerGauge("relay.watching", () -> stateSync.isWatching() ? 1 : 0);
     metrics.registerGauge("relay.supplied", () -> stateSync.isSupplied() ? 1 : 0);
--- a/edge/src/main/java/org/cowslipstair/edge/ProtocolHeaders.java
+++ b/edge/src/main/java/org/cowslipstair/edge/ProtocolHeaders.java
@@ -10,6 +10,7 @@
  * @param notExecuted marks a response whose request did not run
  * @param signature signature of the backend server for its response
  * @param load load report: running, waiting, slots and pace in percent
+ * @param rateLimit requests per second that the backend server accepts from all gateways together
  * @param coldRemainingMs time for which the backend server stays cold, in milliseconds
  */
 public record ProtocolHeaders(
@@ -20,4 +21,5 @@
     String notExecuted,
     String signature,
     String load,
+    String rateLimit,
     String coldRemainingMs) {}
--- a/edge/src/main/java/org/cowslipstair/edge/StateDump.java
+++ b/edge/src/main/java/org/cowslipstair/edge/StateDump.java
@@ -70,6 +70,9 @@
         .put("requestsFromHere", stats.inFlight())
         .put("failureShare", stats.failureShare(nowNs))
         .put("connections", entry.openConnections());
+    stats.rateLimit().ifPresent(limit -> node.put("rateLimitPerSecond", limit.requestsPerSecond()));
+    node.put("requestsWhileLimited", stats.limitedRequestCount())
+        .put("probesWhileLimited", stats.limitedProbeCount());
     stats
         .recentReport(nowNs)
         .ifPresent(
--- a/edge/src/main/java/org/cowslipstair/edge/backend/Prober.java
+++ b/edge/src/main/java/org/cowslipstair/edge/backend/Prober.java
@@ -36,6 +36,7 @@
   private final ProtocolHeaders headers;
   private final ProbeRateLimiter probeRateLimiter;
   private final MonotonicClock clock;
+  private final RateLimitHeader rateLimitHeader;
 
   /** Creates a prober. */
   public Prober(
@@ -49,6 +50,7 @@
     this.headers = headers;
     this.probeRateLimiter = probeRateLimiter;
     this.clock = clock;
+    this.rateLimitHeader = new RateLimitHeader(headers.rateLimit());
   }
 
   /** Receives the result of one probe; exactly one method is called, once. */
@@ -154,6 +156,7 @@
       report = LoadReportParser.parse(head.headers().get(headers.load()));
       boolean isHealthy = head.status().code() == HttpResponseStatus.OK.code();
       entry.stats().recordProbe(isHealthy, nowNs + coldMs(head) * NS_PER_MS, nowNs);
+      rateLimitHeader.recordIfPresent(entry, head.headers());
       report.ifPresent(load -> entry.stats().recordLoadReport(load, nowNs));
     }
 
--- /dev/null
+++ b/edge/src/main/java/org/cowslipstair/edge/backend/RateLimitHeader.java
@@ -0,0 +1,65 @@
+package org.cowslipstair.edge.backend;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
+import org.cowslipstair.logic.placement.BackendStats;
+import org.cowslipstair.model.traffic.RateLimit;
+import org.jboss.logging.Logger;
+import org.jspecify.annotations.Nullable;
+
+/** Reads the rate limit that a backend server advertises in its responses. */
+public final class RateLimitHeader {
+  private static final Logger LOG = Logger.getLogger(RateLimitHeader.class);
+
+  private final String name;
+
+  /**
+   * Creates a reader.
+   *
+   * @param name name of the header field
+   */
+  public RateLimitHeader(String name) {
+    this.name = name;
+  }
+
+  /** Records the limit of a response to a request; a response without one withdraws the limit. */
+  public void recordFromResponse(BackendEntry entry, HttpHeaders headers) {
+    String value = headers.get(name);
+    if (value == null) {
+      record(entry.stats(), Optional.empty());
+    } else {
+      recordIfPresent(entry, headers);
+    }
+  }
+
+  /** Records the limit of a response, if it has one that can be read. */
+  public void recordIfPresent(BackendEntry entry, HttpHeaders headers) {
+    Optional<RateLimit> limit = parse(headers.get(name));
+    if (limit.isPresent()) {
+      record(entry.stats(), limit);
+    }
+  }
+
+  private static void record(BackendStats stats, Optional<RateLimit> limit) {
+    if (stats.recordRateLimit(limit)) {
+      LOG.infof(
+          "backend: %s %s",
+          stats.instance().name().value(),
+          limit
+              .map(l -> "limits itself to " + l.requestsPerSecond() + " requests/s")
+              .orElse("no longer limits its rate"));
+    }
+  }
+
+  /** Parses a header value; returns empty if it is missing or malformed. */
+  private static Optional<RateLimit> parse(@Nullable String value) {
+    if (value == null) {
+      return Optional.empty();
+    }
+    try {
+      return Optional.of(new RateLimit(Double.parseDouble(value.trim())));
+    } catch (IllegalArgumentException ignored) {
+      return Optional.empty();
+    }
+  }
+}
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Attempt.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Attempt.java
@@ -127,6 +127,11 @@
   @Override
   public void onHead(HttpResponse newHead) {
     head = newHead;
+    if (isSignedSuccess(newHead)) {
+      context.rateLimitHeader().recordFromResponse(entry, newHead.headers());
+    } else if (newHead.status().code() != HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
+      context.rateLimitHeader().recordIfPresent(entry, newHead.headers());
+    }
   }
 
   @Override
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
@@ -11,6 +11,7 @@
 import org.cowslipstair.edge.ProtocolHeaders;
 import org.cowslipstair.edge.backend.BackendTable;
 import org.cowslipstair.edge.backend.Prober;
+import org.cowslipstair.edge.backend.RateLimitHeader;
 import org.cowslipstair.logic.budget.ColdSendLimiter;
 import org.cowslipstair.logic.budget.RetryBudget;
 import org.cowslipstair.logic.budget.WeightedServiceSelector;
@@ -41,11 +42,13 @@
   private final Map<String, WeightedServiceSelector> serviceSelectors = new HashMap<>();
   private final ServiceTimes serviceTimes = new ServiceTimes();
   private final LoopDelay loopDelay = new LoopDelay();
+  private final RateLimitHeader rateLimitHeader;
   private boolean isMeasuringLoopDelay;
 
   /** Creates a context. */
   public ExchangeContext(Dependencies dependencies) {
     this.dependencies = dependencies;
+    this.rateLimitHeader = new RateLimitHeader(dependencies.headers().rateLimit());
   }
 
   /**
@@ -95,6 +98,10 @@
     return dependencies.headers();
   }
 
+  RateLimitHeader rateLimitHeader() {
+    return rateLimitHeader;
+  }
+
   BackendTable table() {
     return dependencies.table();
   }
--- a/edge/src/test/java/org/cowslipstair/edge/GatewayFixture.java
+++ b/edge/src/test/java/org/cowslipstair/edge/GatewayFixture.java
@@ -44,6 +44,7 @@
           "X-Not-Run",
           "X-Proof",
           "X-Load",
+          "X-Limit",
           "X-Cold-Ms");
   static final long SHORT_TIMEOUT_MS = 1_500;
   static final long LONG_TIMEOUT_MS = 20_000;
--- a/edge/src/test/java/org/cowslipstair/edge/ScriptedBackend.java
+++ b/edge/src/test/java/org/cowslipstair/edge/ScriptedBackend.java
@@ -55,6 +55,15 @@
     static Script ok(String body) {
       return (request, socket) -> write(socket, response(request.requestId(), 200, body));
     }
+
+    /** Responds with a signed body and a rate limit, in requests per second. */
+    static Script limited(double requestsPerSecond) {
+      return (request, socket) -> {
+        String head = GatewayFixture.HEADERS.rateLimit() + ": " + requestsPerSecond + "\r\n";
+        String response = response(request.requestId(), 200, "limited");
+        write(socket, response.replaceFirst("\r\n", "\r\n" + head));
+      };
+    }
   }
 
   ScriptedBackend(String id) throws IOException {
--- a/edge/src/test/java/org/cowslipstair/edge/StatusPagesTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/StatusPagesTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.notNullValue;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -55,4 +56,23 @@
     assertThat(metrics, containsString("log_lines_dropped "));
     assertThat(metrics, containsString("configuration_version 1.0"));
   }
+
+  @Test
+  void stateDumpShowsTheRateLimitOfABackendServerAndWhatItGotSince() throws IOException {
+    for (ScriptedBackend backend : fixture.backends) {
+      backend.script(ScriptedBackend.Script.limited(1.5));
+    }
+    try (RawClient client = fixture.client()) {
+      client.send(RawClient.get("/safe/x", "limited"));
+    }
+    JsonNode limited = null;
+    for (JsonNode backend : new ObjectMapper().readTree(page("/state")).path("backends")) {
+      limited = backend.has("rateLimitPerSecond") ? backend : limited;
+    }
+    assertThat(limited, is(notNullValue()));
+    assertThat(limited.path("rateLimitPerSecond").asDouble(), is(1.5));
+    assertThat(limited.has("requestsWhileLimited"), is(true));
+    assertThat(limited.has("probesWhileLimited"), is(true));
+    assertThat(page("/metrics"), containsString("backends_limited 1.0"));
+  }
 }
--- a/edge/src/test/java/org/cowslipstair/edge/relay/StateSyncTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/relay/StateSyncTest.java
@@ -142,7 +142,7 @@
               MonotonicClock.system(),
               new Random(3),
               new Feed(),
-              new ProtocolHeaders("a", "b", "c", "d", "e", "f", "g", "h"),
+              new ProtocolHeaders("a", "b", "c", "d", "e", "f", "g", "h", "i"),
               InvariantMonitor.failing());
       StateSync sync =
           new StateSync(
--- a/lib/src/main/java/org/cowslipstair/logic/placement/BackendStats.java
+++ b/lib/src/main/java/org/cowslipstair/logic/placement/BackendStats.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.cowslipstair.model.traffic.BackendInstance;
 import org.cowslipstair.model.traffic.LoadReport;
+import org.cowslipstair.model.traffic.RateLimit;
 
 /**
  * Request counts, health, cold state and failures of one backend instance, as observed by this
@@ -46,6 +47,9 @@
   private Optional<LoadReport> report = Optional.empty();
   private long reportNs;
   private int sentSinceReport;
+  private Optional<RateLimit> rateLimit = Optional.empty();
+  private long limitedRequestCount;
+  private long limitedProbeCount;
 
   /** Creates statistics without observations. */
   public BackendStats(BackendInstance instance, long nowNs) {
@@ -74,6 +78,7 @@
       unansweredSinceNs = nowNs;
     }
     pendingProbes++;
+    limitedProbeCount += rateLimit.isPresent() ? 1 : 0;
   }
 
   /** Records that a probe ended, with or without a response. */
@@ -124,10 +129,38 @@
                     last.slowdownFactor()));
   }
 
+  /**
+   * Records the rate limit that the backend server advertises now.
+   *
+   * @param newLimit limit; empty if the backend server has none
+   * @return whether it differs from the one recorded before
+   */
+  public boolean recordRateLimit(Optional<RateLimit> newLimit) {
+    boolean hasChanged = !newLimit.equals(rateLimit);
+    rateLimit = newLimit;
+    return hasChanged;
+  }
+
+  /** Returns the rate limit that the backend server advertises; empty if it has none. */
+  public Optional<RateLimit> rateLimit() {
+    return rateLimit;
+  }
+
+  /** Returns the number of requests sent from here while a rate limit was known. */
+  public long limitedRequestCount() {
+    return limitedRequestCount;
+  }
+
+  /** Returns the number of probes sent from here while a rate limit was known. */
+  public long limitedProbeCount() {
+    return limitedProbeCount;
+  }
+
   /** Counts a request sent from here. */
   public void recordRequestStart() {
     inFlight++;
     sentSinceReport++;
+    limitedRequestCount += rateLimit.isPresent() ? 1 : 0;
   }
 
   /** Counts a request sent from here as finished. */
