--- a/edge/src/test/java/org/cowslipstair/edge/GatewayFixture.java
+++ b/edge/src/test/java/org/cowslipstair/edge/GatewayFixture.java
@@ -6,11 +6,13 @@
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Single;
 import java.io.IOException;
+import java.net.ServerSocket;
 import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntConsumer;
 import org.cowslipstair.edge.caller.CallerServer;
@@ -33,7 +35,7 @@
 import org.cowslipstair.port.MonotonicClock;
 import org.cowslipstair.port.ObjectFeed;
 
-/** A gateway on the loopback interface with scripted backend servers on raw sockets. */
+/** Gateways on the loopback interface with scripted backend servers on raw sockets. */
 final class GatewayFixture implements AutoCloseable {
   static final ProtocolHeaders HEADERS =
       new ProtocolHeaders(
@@ -51,16 +53,15 @@
   static final double UNLIMITED_PROBES_PER_SECOND = 10_000;
   private static final ServiceName SERVICE = new ServiceName("s");
   private static final ZoneName ZONE = new ZoneName("z");
-  private static final GatewayEntry GATEWAY =
-      new GatewayEntry("g", ZONE, new HostPort("127.0.0.1", 1));
   private static final long HEAD_TIMEOUT_MS = 300;
 
   final List<ScriptedBackend> backends = new ArrayList<>();
-  final List<Violation> violations = new ArrayList<>();
+  final List<Violation> violations = new CopyOnWriteArrayList<>();
+  final List<FrontGateway> gateways = new ArrayList<>();
   final FrontGateway gateway;
+  private final List<GatewayEntry> gatewayEntries = new ArrayList<>();
   private final boolean hasConfiguration;
-  private final MultiThreadIoEventLoopGroup group =
-      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final MultiThreadIoEventLoopGroup group;
 
   GatewayFixture(int backendCount) throws IOException, InterruptedException {
     this(backendCount, UNLIMITED_PROBES_PER_SECOND);
@@ -73,8 +74,21 @@
    */
   GatewayFixture(int backendCount, double probesPerSecond)
       throws IOException, InterruptedException {
-    this(backendCount, probesPerSecond, true, _ -> {});
-    while (!gateway.isReady()) {
+    this(backendCount, 1, probesPerSecond, true, _ -> {});
+    awaitReady();
+  }
+
+  /** Starts a fleet of gateways in one zone and waits until all are ready. */
+  static GatewayFixture fleet(int gatewayCount, int backendCount)
+      throws IOException, InterruptedException {
+    GatewayFixture fixture =
+        new GatewayFixture(backendCount, gatewayCount, UNLIMITED_PROBES_PER_SECOND, true, _ -> {});
+    fixture.awaitReady();
+    return fixture;
+  }
+
+  private void awaitReady() throws InterruptedException {
+    while (!gateways.stream().allMatch(FrontGateway::isReady)) {
       TimeUnit.MILLISECONDS.sleep(1);
     }
   }
@@ -88,17 +102,52 @@
   GatewayFixture(
       int backendCount, double probesPerSecond, boolean hasConfiguration, IntConsumer onListening)
       throws IOException, InterruptedException {
+    this(backendCount, 1, probesPerSecond, hasConfiguration, onListening);
+  }
+
+  /**
+   * Starts gateways that all know each other.
+   *
+   * @param hasConfiguration whether the store has a configuration
+   * @param onListening receives each port for callers before connections are accepted
+   */
+  private GatewayFixture(
+      int backendCount,
+      int gatewayCount,
+      double probesPerSecond,
+      boolean hasConfiguration,
+      IntConsumer onListening)
+      throws IOException, InterruptedException {
     this.hasConfiguration = hasConfiguration;
+    this.group = new MultiThreadIoEventLoopGroup(gatewayCount, NioIoHandler.newFactory());
     for (int i = 0; i < backendCount; i++) {
       backends.add(new ScriptedBackend("b-" + i));
     }
+    for (int i = 0; i < gatewayCount; i++) {
+      String name = i == 0 ? "g" : "g-" + i;
+      gatewayEntries.add(new GatewayEntry(name, ZONE, new HostPort("127.0.0.1", freePort())));
+    }
+    for (GatewayEntry entry : gatewayEntries) {
+      gateways.add(start(entry, probesPerSecond, onListening));
+    }
+    this.gateway = gateways.getFirst();
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return socket.getLocalPort();
+    }
+  }
+
+  private FrontGateway start(GatewayEntry entry, double probesPerSecond, IntConsumer onListening)
+      throws IOException, InterruptedException {
     FrontSettings settings =
         new FrontSettings(
-            "g",
+            entry.name(),
             ZONE,
             new HostPort("127.0.0.1", 0),
             new HostPort("127.0.0.1", 0),
-            new FrontSettings.Relay(new HostPort("127.0.0.1", 0), List.of(), false),
+            new FrontSettings.Relay(entry.relayAddress(), List.of(), false),
             0.2,
             100,
             1.5,
@@ -107,18 +156,17 @@
     EventLoop loop = group.next();
     ServerSocketChannel socket = CallerServer.bind(new HostPort("127.0.0.1", 0));
     onListening.accept(socket.socket().getLocalPort());
-    gateway =
-        FrontGateway.start(
-            settings,
-            new GatewayComponents(
-                loop,
-                MonotonicClock.system(),
-                new Random(7),
-                new StaticFeed(),
-                HEADERS,
-                new InvariantMonitor(violations::add)),
-            new GatewayLog("g", new GatewayMetrics(), MonotonicClock.system()),
-            socket);
+    return FrontGateway.start(
+        settings,
+        new GatewayComponents(
+            loop,
+            MonotonicClock.system(),
+            new Random(7),
+            new StaticFeed(),
+            HEADERS,
+            new InvariantMonitor(violations::add)),
+        new GatewayLog(entry.name(), new GatewayMetrics(), MonotonicClock.system()),
+        socket);
   }
 
   ScriptedBackend backend() {
@@ -177,7 +225,10 @@
                 backends.stream()
                     .map(backend -> new Item(backend.id, 1, instance(backend)))
                     .toList();
-            case GATEWAYS -> List.of(new Item("g", 1, new Content.Gateway(GATEWAY)));
+            case GATEWAYS ->
+                gatewayEntries.stream()
+                    .map(entry -> new Item(entry.name(), 1, new Content.Gateway(entry)))
+                    .toList();
             case ZONES_OUT -> List.of();
           };
       return Single.just(new Page(items, false, 1));
--- a/edge/src/test/java/org/cowslipstair/edge/ScriptedBackend.java
+++ b/edge/src/test/java/org/cowslipstair/edge/ScriptedBackend.java
@@ -22,6 +22,7 @@
 final class ScriptedBackend implements AutoCloseable {
   private static final int BACKLOG = 64;
   final List<ReceivedRequest> receivedRequests = new CopyOnWriteArrayList<>();
+  final List<Long> arrivalsNs = new CopyOnWriteArrayList<>();
   final List<String> unexpectedLines = new CopyOnWriteArrayList<>();
   final CountDownLatch connectionClosed = new CountDownLatch(1);
   final String id;
@@ -119,6 +120,7 @@
         if (head.isEmpty()) {
           return;
         }
+        arrivalsNs.add(System.nanoTime());
         ReceivedRequest request =
             new ReceivedRequest(head.getFirst(), head.subList(1, head.size()), "", connection);
         if (request.line().startsWith("GET /healthz ")) {
