--- a/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
+++ b/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
@@ -14,12 +14,14 @@
 import org.cowslipstair.edge.log.BoundedAppender;
 import org.cowslipstair.edge.log.GatewayLog;
 import org.cowslipstair.edge.log.GatewayMetrics;
+import org.cowslipstair.edge.permit.PermitService;
 import org.cowslipstair.edge.relay.StateSync;
 import org.cowslipstair.edge.sync.CountingFeed;
 import org.cowslipstair.logic.budget.ColdSendLimiter;
 import org.cowslipstair.logic.budget.ProbeRateLimiter;
 import org.cowslipstair.logic.invariant.Invariant;
 import org.cowslipstair.logic.placement.CandidateOrder;
+import org.cowslipstair.logic.ratelimit.RateLimitCoordinator;
 import org.cowslipstair.logic.traffic.TrafficStateCache;
 import org.cowslipstair.model.traffic.GatewayEntry;
 import org.cowslipstair.model.traffic.TrafficState;
@@ -66,8 +68,8 @@
   private final CallerContext callerContext;
   private final StateSync stateSync;
   private final ColdSendLimiter coldSendLimiter;
-  private List<GatewayEntry> knownGateways = List.of();
-  private List<String> gatewayNames = List.of();
+  private final PermitService permits;
+  private PermitService.Fleet fleet = new PermitService.Fleet(List.of(), List.of());
   private boolean gaugesRegistered;
   private volatile CallerServer callerServer;
   private volatile StatusServer statusServer;
@@ -79,11 +81,20 @@
     this.components = components;
     this.stateCache = new TrafficStateCache(components.monitor());
     ObjectFeed feed = new CountingFeed(components.feed(), log.metrics());
-    this.stateSync = new StateSync(settings, components.with(feed), stateCache, this::applyState);
     ServerConnector connector =
         new ServerConnector(
             components.loop(), components.headers().requestId(), CONNECT_TIMEOUT_MS);
     this.table = new BackendTable(connector, components.clock());
+    this.permits =
+        new PermitService(
+            settings.name(),
+            components.loop(),
+            components.clock(),
+            new RateLimitCoordinator(settings.name(), components.monitor()),
+            table,
+            () -> fleet);
+    this.stateSync =
+        new StateSync(settings, components.with(feed), stateCache, this::applyState, permits);
     this.probeRateLimiter =
         new ProbeRateLimiter(
             settings.limits().probesPerSecond(), components.monitor(), components.clock().nowNs());
@@ -102,8 +113,9 @@
                 table,
                 prober,
                 new ExchangeContext.Fleet(
-                    () -> gatewayNames,
+                    () -> fleet.names(),
                     coldSendLimiter,
+                    permits,
                     new CandidateOrder(settings.name(), settings.zone(), components.random()),
                     components.monitor()),
                 log));
@@ -149,7 +161,7 @@
   }
 
   private String stateJson() {
-    return new StateDump(stateCache, table, stateSync)
+    return new StateDump(stateCache, table, stateSync, permits)
         .json(settings, isReady(), callerContext.connectionCount(), components.clock().nowNs());
   }
 
@@ -172,11 +184,12 @@
     metrics.registerGauge(
         "store.revision.backends", () -> stateCache.revision(Collection.BACKENDS));
     metrics.registerGauge("backends.known", () -> table.entries().size());
-    metrics.registerGauge("gateways.known", () -> gatewayNames.size());
+    metrics.registerGauge("gateways.known", () -> fleet.names().size());
     metrics.registerGauge("callers.open", callerContext::connectionCount);
     metrics.registerGauge("probes.sent", probeRateLimiter::acquiredCount);
     metrics.registerGauge("probes.over.budget", probeRateLimiter::refusedCount);
     metrics.registerGauge("cold.sends", coldSendLimiter::sentCount);
+    metrics.registerGauge("permits.issued", permits::issuedCount);
     metrics.registerGauge(
         "backends.limited",
         () -> table.entries().stream().filter(e -> e.stats().rateLimit().isPresent()).count());
@@ -198,12 +211,13 @@
     }
     TrafficState state = stateCache.state(components.clock().nowNs());
     table.update(state);
-    if (stateCache.gateways() != knownGateways) {
-      knownGateways = stateCache.gateways();
-      gatewayNames = knownGateways.stream().map(GatewayEntry::name).toList();
+    List<GatewayEntry> gateways = stateCache.gateways();
+    if (gateways != fleet.gateways()) {
+      fleet = new PermitService.Fleet(gateways, gateways.stream().map(GatewayEntry::name).toList());
     }
-    table.setGatewayCount(gatewayNames.size());
-    probeRateLimiter.setShare(Math.max(1, state.backends().size()), gatewayNames.size());
+    int gatewayCount = gateways.size();
+    table.setGatewayCount(gatewayCount);
+    probeRateLimiter.setShare(Math.max(1, state.backends().size()), gatewayCount);
     if (!configurationLoaded && stateCache.isComplete()) {
       configurationLoaded = true;
       callerServer.startAccepting();
--- a/edge/src/main/java/org/cowslipstair/edge/StateDump.java
+++ b/edge/src/main/java/org/cowslipstair/edge/StateDump.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import org.cowslipstair.edge.backend.BackendEntry;
 import org.cowslipstair.edge.backend.BackendTable;
+import org.cowslipstair.edge.permit.PermitService;
 import org.cowslipstair.edge.relay.StateSync;
 import org.cowslipstair.logic.placement.BackendStats;
 import org.cowslipstair.logic.traffic.TrafficStateCache;
@@ -20,11 +21,14 @@
   private final TrafficStateCache stateCache;
   private final BackendTable table;
   private final StateSync sync;
+  private final PermitService permits;
 
-  StateDump(TrafficStateCache stateCache, BackendTable table, StateSync sync) {
+  StateDump(
+      TrafficStateCache stateCache, BackendTable table, StateSync sync, PermitService permits) {
     this.stateCache = stateCache;
     this.table = table;
     this.sync = sync;
+    this.permits = permits;
   }
 
   /** Returns the state as JSON. Times are in milliseconds from now. */
@@ -70,7 +74,10 @@
         .put("requestsFromHere", stats.inFlight())
         .put("failureShare", stats.failureShare(nowNs))
         .put("connections", entry.openConnections());
-    stats.rateLimit().ifPresent(limit -> node.put("rateLimitPerSecond", limit.requestsPerSecond()));
+    if (stats.rateLimit().isPresent()) {
+      node.put("rateLimitPerSecond", stats.rateLimit().get().requestsPerSecond());
+      permits.issuer(entry).ifPresent(issuer -> node.put("permitIssuer", issuer));
+    }
     node.put("requestsWhileLimited", stats.limitedRequestCount())
         .put("probesWhileLimited", stats.limitedProbeCount());
     stats
--- a/edge/src/main/java/org/cowslipstair/edge/backend/BackendTable.java
+++ b/edge/src/main/java/org/cowslipstair/edge/backend/BackendTable.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.cowslipstair.edge.http.ServerConnection;
 import org.cowslipstair.edge.http.ServerConnector;
@@ -92,6 +93,11 @@
         && !state.zonesOut().contains(instance.zone());
   }
 
+  /** Returns the entry of a backend instance; empty if it is unknown. */
+  public Optional<BackendEntry> find(BackendName name) {
+    return Optional.ofNullable(entries.get(name));
+  }
+
   /** Returns all entries. */
   public Collection<BackendEntry> entries() {
     return entries.values();
--- a/edge/src/main/java/org/cowslipstair/edge/backend/Prober.java
+++ b/edge/src/main/java/org/cowslipstair/edge/backend/Prober.java
@@ -156,7 +156,7 @@
       report = LoadReportParser.parse(head.headers().get(headers.load()));
       boolean isHealthy = head.status().code() == HttpResponseStatus.OK.code();
       entry.stats().recordProbe(isHealthy, nowNs + coldMs(head) * NS_PER_MS, nowNs);
-      rateLimitHeader.recordIfPresent(entry, head.headers());
+      rateLimitHeader.recordIfPresent(entry, head.headers(), nowNs);
       report.ifPresent(load -> entry.stats().recordLoadReport(load, nowNs));
     }
 
--- a/edge/src/main/java/org/cowslipstair/edge/backend/RateLimitHeader.java
+++ b/edge/src/main/java/org/cowslipstair/edge/backend/RateLimitHeader.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.cowslipstair.logic.placement.BackendStats;
 import org.cowslipstair.model.traffic.RateLimit;
+import org.cowslipstair.model.traffic.RateLimitObservation;
 import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 
@@ -22,26 +23,31 @@
     this.name = name;
   }
 
-  /** Records the limit of a response to a request; a response without one withdraws the limit. */
-  public void recordFromResponse(BackendEntry entry, HttpHeaders headers) {
+  /**
+   * Records the limit of a response to a request; a response without one withdraws the limit.
+   *
+   * @return whether the limit has changed
+   */
+  public boolean recordFromResponse(BackendEntry entry, HttpHeaders headers, long nowNs) {
     String value = headers.get(name);
-    if (value == null) {
-      record(entry.stats(), Optional.empty());
-    } else {
-      recordIfPresent(entry, headers);
-    }
+    return value == null
+        ? record(entry.stats(), Optional.empty(), nowNs)
+        : recordIfPresent(entry, headers, nowNs);
   }
 
-  /** Records the limit of a response, if it has one that can be read. */
-  public void recordIfPresent(BackendEntry entry, HttpHeaders headers) {
+  /**
+   * Records the limit of a response, if it has one that can be read.
+   *
+   * @return whether the limit has changed
+   */
+  public boolean recordIfPresent(BackendEntry entry, HttpHeaders headers, long nowNs) {
     Optional<RateLimit> limit = parse(headers.get(name));
-    if (limit.isPresent()) {
-      record(entry.stats(), limit);
-    }
+    return limit.isPresent() && record(entry.stats(), limit, nowNs);
   }
 
-  private static void record(BackendStats stats, Optional<RateLimit> limit) {
-    if (stats.recordRateLimit(limit)) {
+  private static boolean record(BackendStats stats, Optional<RateLimit> limit, long nowNs) {
+    boolean hasChanged = stats.recordRateLimit(new RateLimitObservation(limit, nowNs));
+    if (hasChanged) {
       LOG.infof(
           "backend: %s %s",
           stats.instance().name().value(),
@@ -49,6 +55,7 @@
               .map(l -> "limits itself to " + l.requestsPerSecond() + " requests/s")
               .orElse("no longer limits its rate"));
     }
+    return hasChanged;
   }
 
   /** Parses a header value; returns empty if it is missing or malformed. */
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Attempt.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Attempt.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import org.cowslipstair.edge.ProtocolHeaders;
 import org.cowslipstair.edge.backend.BackendEntry;
+import org.cowslipstair.edge.backend.RateLimitHeader;
 import org.cowslipstair.edge.http.HeaderRules;
 import org.cowslipstair.edge.http.ResponseListener;
 import org.cowslipstair.edge.http.ServerBytesException;
@@ -127,13 +128,23 @@
   @Override
   public void onHead(HttpResponse newHead) {
     head = newHead;
-    if (isSignedSuccess(newHead)) {
-      context.rateLimitHeader().recordFromResponse(entry, newHead.headers());
-    } else if (newHead.status().code() != HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
-      context.rateLimitHeader().recordIfPresent(entry, newHead.headers());
+    if (recordRateLimit(newHead)) {
+      context.fleet().permits().reportLimitChange(entry);
     }
   }
 
+  private boolean recordRateLimit(HttpResponse response) {
+    boolean isOtherInstance =
+        response.status().code() == HttpResponseStatus.MISDIRECTED_REQUEST.code();
+    if (isOtherInstance) {
+      return false;
+    }
+    RateLimitHeader header = context.rateLimitHeader();
+    return isSignedSuccess(response)
+        ? header.recordFromResponse(entry, response.headers(), context.nowNs())
+        : header.recordIfPresent(entry, response.headers(), context.nowNs());
+  }
+
   @Override
   public void onBodyPart(ByteBuf part) {
     HttpResponse responseHead = head;
--- /dev/null
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/BackendEligibility.java
@@ -0,0 +1,112 @@
+package org.cowslipstair.edge.exchange;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.cowslipstair.edge.backend.BackendEntry;
+import org.cowslipstair.logic.placement.BackendStats;
+import org.cowslipstair.logic.ratelimit.PermitIssuer;
+import org.cowslipstair.model.call.NotRunReason;
+import org.cowslipstair.model.config.ServiceName;
+import org.cowslipstair.model.traffic.ServiceConfig;
+
+/**
+ * Decides whether the backend servers of a service may be probed and may receive a request now:
+ * whether they accept requests, are cold, or limit their rate.
+ */
+final class BackendEligibility {
+  private final ExchangeContext context;
+  private final ServiceName service;
+  private final double maxColdRequestsPerSecond;
+
+  BackendEligibility(
+      ExchangeContext context, ServiceName service, Optional<ServiceConfig> serviceConfig) {
+    this.context = context;
+    this.service = service;
+    this.maxColdRequestsPerSecond =
+        serviceConfig.map(ServiceConfig::coldRequestsPerSecond).orElse(0.0)
+                * context.settings().coldFactor()
+            + context.settings().coldSlack();
+  }
+
+  /** Returns whether a backend server may be probed, or a permit for it requested. */
+  boolean canProbe(BackendEntry entry) {
+    boolean isWarm = !entry.stats().isCold(context.nowNs());
+    return context.table().acceptsRequests(entry)
+        && (isWarm || canUseCold(entry))
+        && (entry.stats().rateLimit().isEmpty() || canRequestPermit(entry));
+  }
+
+  /** Without a free slot, a permit would be lost. */
+  private boolean canRequestPermit(BackendEntry entry) {
+    return entry.stats().inFlight() < entry.stats().instance().slots()
+        && context.fleet().permits().canRequest(entry);
+  }
+
+  /**
+   * Returns whether a backend server may receive a request.
+   *
+   * @param permitUntilNs monotonic time until which a permit allows it; empty without a permit
+   */
+  boolean canUse(BackendEntry entry, OptionalLong permitUntilNs) {
+    return context.table().acceptsRequests(entry)
+        && context.isPermitted(entry, permitUntilNs)
+        && (!needsColdAllowance(entry) || canUseCold(entry));
+  }
+
+  /**
+   * Returns whether a request counts toward what a cold backend server can bear: if it is cold, or
+   * can be cold unnoticed and gets more requests than a cold one can bear.
+   */
+  boolean needsColdAllowance(BackendEntry entry) {
+    long nowNs = context.nowNs();
+    BackendStats stats = entry.stats();
+    return stats.rateLimit().isPresent() && !needsProbe(entry)
+        ? stats.isCold(nowNs)
+        : stats.canBeCold(nowNs);
+  }
+
+  /**
+   * Returns whether a request to a backend server that limits its rate needs a probe before it,
+   * which counts toward the limit like the request. Without one, the server may have become cold,
+   * begun to leave or become healthy again unnoticed.
+   */
+  boolean needsProbe(BackendEntry entry) {
+    BackendStats stats = entry.stats();
+    double maxInOneSecond =
+        stats.rateLimit().map(limit -> limit.requestsPerSecond()).orElse(Double.MAX_VALUE)
+            + PermitIssuer.MAX_BURST;
+    return maxInOneSecond > maxColdRequestsPerSecond
+        || !stats.isHealthy()
+        || context.table().state().isUnconfirmed(stats.instance().name());
+  }
+
+  private boolean canUseCold(BackendEntry entry) {
+    return context
+        .fleet()
+        .coldAllowance()
+        .maySend(
+            entry.stats().instance().name(),
+            maxColdRequestsPerSecond,
+            context.fleet().gateways().get(),
+            context.nowNs());
+  }
+
+  /**
+   * Returns the expected time until a backend server of the service that limits its rate has a
+   * permit; empty if none limits its rate.
+   */
+  OptionalLong permitInNs() {
+    return context.table().eligible(service).stream()
+        .filter(entry -> entry.stats().rateLimit().isPresent())
+        .mapToLong(context.fleet().permits()::availableInNs)
+        .min();
+  }
+
+  /** Returns why no backend server of the service can be reached. */
+  NotRunReason unreachableReason() {
+    if (context.table().eligible(service).isEmpty()) {
+      return NotRunReason.NO_BACKEND;
+    }
+    return permitInNs().isPresent() ? NotRunReason.RATE_LIMITED : NotRunReason.BACKEND_UNREACHABLE;
+  }
+}
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/BackendSelection.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/BackendSelection.java
@@ -7,9 +7,11 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.LongStream;
 import org.cowslipstair.edge.backend.BackendEntry;
 import org.cowslipstair.edge.backend.Prober;
 import org.cowslipstair.edge.http.ServerConnection;
+import org.cowslipstair.edge.permit.PermitService;
 import org.cowslipstair.logic.placement.LatencyEstimate;
 import org.cowslipstair.logic.placement.PlacementRule;
 import org.cowslipstair.model.call.NotRunReason;
@@ -38,7 +40,7 @@
   private final ProbeCandidates candidates;
   private final List<RankedBackend> rankedBackends = new ArrayList<>();
   private final String healthPath;
-  private final double maxColdRequestsPerSecond;
+  private final BackendEligibility eligibility;
   private @Nullable ScheduledFuture<?> roundTimer;
   private int pendingProbes;
   private int roundIndex;
@@ -55,12 +57,15 @@
    * A selected backend server.
    *
    * @param connection connection to it; empty if one must be acquired
+   * @param permitUntilNs monotonic time until which a permit allows the request; empty if there is
+   *     no permit
    * @param estimate expected duration in multiples of the usual service time
    * @param load load report that the selection was based on
    */
   record Selected(
       BackendEntry entry,
       Optional<ServerConnection> connection,
+      OptionalLong permitUntilNs,
       double estimate,
       Optional<LoadReport> load) {}
 
@@ -82,6 +87,7 @@
       BackendEntry entry,
       boolean isLocal,
       Optional<ServerConnection> connection,
+      OptionalLong permitUntilNs,
       Optional<LoadReport> load,
       LatencyEstimate estimate) {
     PlacementRule.Option option() {
@@ -96,24 +102,18 @@
     Optional<ServiceConfig> serviceConfig =
         context.table().state().plan().flatMap(plan -> plan.service(criteria.service()));
     this.healthPath = serviceConfig.map(ServiceConfig::healthPath).orElse("/");
-    this.maxColdRequestsPerSecond =
-        serviceConfig.map(ServiceConfig::coldRequestsPerSecond).orElse(0.0)
-                * context.settings().coldFactor()
-            + context.settings().coldSlack();
+    this.eligibility = new BackendEligibility(context, criteria.service(), serviceConfig);
     this.rule = criteria.rule();
     this.candidates =
-        new ProbeCandidates(context, criteria.service(), criteria.excluded(), this::canProbe);
+        new ProbeCandidates(
+            context, criteria.service(), criteria.excluded(), eligibility::canProbe);
   }
 
   /** Starts the first round of probes. */
   void start() {
     if (candidates.isEmpty()) {
       finished = true;
-      boolean hasNoBackend = context.table().eligible(criteria.service()).isEmpty();
-      listener.onNoneSelected(
-          hasNoBackend ? NotRunReason.NO_BACKEND : NotRunReason.BACKEND_UNREACHABLE,
-          OptionalLong.empty(),
-          detail());
+      listener.onNoneSelected(eligibility.unreachableReason(), eligibility.permitInNs(), detail());
       return;
     }
     startRound(!candidates.hasLocal());
@@ -152,8 +152,53 @@
     roundTimer = context.loop().schedule(this::onRoundEnd, ROUND_TIMEOUT_MS, TimeUnit.MILLISECONDS);
   }
 
+  /** Probes a backend server, or requests a permit if it limits its rate: probes count too. */
   private void probe(BackendEntry entry, boolean isLocal) {
     pendingProbes++;
+    if (entry.stats().rateLimit().isPresent()) {
+      requestPermit(entry, isLocal);
+    } else {
+      probeLoad(entry, isLocal, OptionalLong.empty());
+    }
+  }
+
+  private void requestPermit(BackendEntry entry, boolean isLocal) {
+    boolean needsProbe = eligibility.needsProbe(entry);
+    context
+        .fleet()
+        .permits()
+        .acquire(
+            entry,
+            needsProbe ? 2 : 1,
+            new PermitService.Listener() {
+              @Override
+              public void onGranted(long validUntilNs) {
+                if (needsProbe && !finished) {
+                  probeLoad(entry, isLocal, OptionalLong.of(validUntilNs));
+                } else {
+                  pendingProbes--;
+                  onPermitGranted(entry, isLocal, validUntilNs);
+                }
+              }
+
+              @Override
+              public void onUnlimited() {
+                if (finished) {
+                  pendingProbes--;
+                } else {
+                  probeLoad(entry, isLocal, OptionalLong.empty());
+                }
+              }
+
+              @Override
+              public void onDenied() {
+                pendingProbes--;
+                onProbeFinished();
+              }
+            });
+  }
+
+  private void probeLoad(BackendEntry entry, boolean isLocal, OptionalLong permitUntilNs) {
     context
         .prober()
         .probe(
@@ -163,13 +208,14 @@
               @Override
               public void onResponse(ServerConnection connection, Optional<LoadReport> report) {
                 pendingProbes--;
-                BackendSelection.this.onProbeResponse(entry, isLocal, connection, report);
+                BackendSelection.this.onProbeResponse(
+                    entry, isLocal, permitUntilNs, connection, report);
               }
 
               @Override
               public void onFailure(Prober.ProbeFailure failure) {
                 pendingProbes--;
-                BackendSelection.this.onProbeFailure(entry, isLocal, failure);
+                BackendSelection.this.onProbeFailure(entry, isLocal, permitUntilNs, failure);
               }
             });
   }
@@ -177,9 +223,10 @@
   private void onProbeResponse(
       BackendEntry entry,
       boolean isLocal,
+      OptionalLong permitUntilNs,
       ServerConnection connection,
       Optional<LoadReport> report) {
-    if (finished || !canUse(entry)) {
+    if (finished || !eligibility.canUse(entry, permitUntilNs)) {
       context.table().release(entry, connection);
       onProbeFinished();
       return;
@@ -191,7 +238,7 @@
             .map(load -> LatencyEstimate.fromReport(load, entry.stats(), failureShare, nowNs))
             .orElseGet(() -> LatencyEstimate.withoutProbe(entry.stats(), failureShare, nowNs));
     RankedBackend backend =
-        new RankedBackend(entry, isLocal, Optional.of(connection), report, estimate);
+        new RankedBackend(entry, isLocal, Optional.of(connection), permitUntilNs, report, estimate);
     rankedBackends.add(backend);
     if (PlacementRule.isGood(estimate)) {
       select(backend);
@@ -200,17 +247,43 @@
     onProbeFinished();
   }
 
-  private void onProbeFailure(BackendEntry entry, boolean isLocal, Prober.ProbeFailure failure) {
-    if (!finished && failure == Prober.ProbeFailure.OVER_BUDGET && canUse(entry)) {
-      long nowNs = context.nowNs();
-      LatencyEstimate estimate =
-          LatencyEstimate.withoutProbe(entry.stats(), serviceFailureShare(nowNs), nowNs);
-      rankedBackends.add(
-          new RankedBackend(entry, isLocal, Optional.empty(), Optional.empty(), estimate));
+  private void onProbeFailure(
+      BackendEntry entry,
+      boolean isLocal,
+      OptionalLong permitUntilNs,
+      Prober.ProbeFailure failure) {
+    if (failure == Prober.ProbeFailure.OVER_BUDGET) {
+      rankWithoutProbe(entry, isLocal, permitUntilNs);
     }
     onProbeFinished();
   }
 
+  private void onPermitGranted(BackendEntry entry, boolean isLocal, long permitUntilNs) {
+    Optional<RankedBackend> backend =
+        rankWithoutProbe(entry, isLocal, OptionalLong.of(permitUntilNs));
+    if (backend.filter(ranked -> PlacementRule.isGood(ranked.estimate)).isPresent()) {
+      select(backend.get());
+    } else {
+      onProbeFinished();
+    }
+  }
+
+  /** Adds a backend server to the ranked ones; returns empty if it cannot be used. */
+  private Optional<RankedBackend> rankWithoutProbe(
+      BackendEntry entry, boolean isLocal, OptionalLong permitUntilNs) {
+    if (finished || !eligibility.canUse(entry, permitUntilNs)) {
+      return Optional.empty();
+    }
+    long nowNs = context.nowNs();
+    LatencyEstimate estimate =
+        LatencyEstimate.withoutProbe(entry.stats(), serviceFailureShare(nowNs), nowNs);
+    RankedBackend backend =
+        new RankedBackend(
+            entry, isLocal, Optional.empty(), permitUntilNs, Optional.empty(), estimate);
+    rankedBackends.add(backend);
+    return Optional.of(backend);
+  }
+
   private double serviceFailureShare(long nowNs) {
     return context.serviceFailures(criteria.service()).share(nowNs);
   }
@@ -237,7 +310,7 @@
           case PROBE_OTHER_ZONES -> () -> startRound(true);
           case AWAIT_RESPONSES -> this::startRoundTimer;
           case REFUSE_NO_ROOM -> () -> refuse(NotRunReason.NO_FREE_SLOT);
-          case REFUSE_UNREACHABLE -> () -> refuse(NotRunReason.BACKEND_UNREACHABLE);
+          case REFUSE_UNREACHABLE -> () -> refuse(eligibility.unreachableReason());
         };
     step.run();
   }
@@ -247,7 +320,7 @@
     for (RankedBackend backend : rankedBackends) {
       boolean isConnectionLost =
           backend.connection.isPresent() && !backend.connection.get().isIdle();
-      if (isConnectionLost || !canUse(backend.entry)) {
+      if (isConnectionLost || !eligibility.canUse(backend.entry, backend.permitUntilNs)) {
         continue;
       }
       if (best == null || rule.isBetter(backend.option(), best.option(), nowNs)) {
@@ -257,27 +330,6 @@
     return Optional.ofNullable(best);
   }
 
-  private boolean canProbe(BackendEntry entry) {
-    boolean isWarm = !entry.stats().isCold(context.nowNs());
-    return context.table().acceptsRequests(entry) && (isWarm || canUseCold(entry));
-  }
-
-  private boolean canUse(BackendEntry entry) {
-    boolean isWarm = !entry.stats().canBeCold(context.nowNs());
-    return context.table().acceptsRequests(entry) && (isWarm || canUseCold(entry));
-  }
-
-  private boolean canUseCold(BackendEntry entry) {
-    return context
-        .fleet()
-        .coldAllowance()
-        .maySend(
-            entry.stats().instance().name(),
-            maxColdRequestsPerSecond,
-            context.fleet().gateways().get(),
-            context.nowNs());
-  }
-
   private void select(RankedBackend backend) {
     finish();
     releaseConnectionsExcept(backend);
@@ -286,11 +338,12 @@
       backend.connection.ifPresent(ServerConnection::close);
     }
     long nowNs = context.nowNs();
-    if (backend.entry.stats().canBeCold(nowNs)) {
+    if (eligibility.needsColdAllowance(backend.entry)) {
       context.fleet().coldAllowance().recordSend(backend.entry.stats().instance().name(), nowNs);
     }
     listener.onSelected(
-        new Selected(backend.entry, usable, backend.estimate.total(), backend.load));
+        new Selected(
+            backend.entry, usable, backend.permitUntilNs, backend.estimate.total(), backend.load));
   }
 
   private void refuse(NotRunReason reason) {
@@ -300,10 +353,11 @@
   }
 
   private OptionalLong roomInNs() {
-    return rankedBackends.stream()
-        .filter(backend -> canUse(backend.entry))
-        .mapToLong(backend -> (long) (backend.estimate.queueTime() * rule.serviceTimeNs()))
-        .min();
+    LongStream queueTimesNs =
+        rankedBackends.stream()
+            .filter(backend -> eligibility.canUse(backend.entry, backend.permitUntilNs))
+            .mapToLong(backend -> (long) (backend.estimate.queueTime() * rule.serviceTimeNs()));
+    return LongStream.concat(queueTimesNs, eligibility.permitInNs().stream()).min();
   }
 
   private void finish() {
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
@@ -163,6 +163,11 @@
       onNoBackendSelected(NotRunReason.NO_BACKEND, !activeAttempts.isEmpty());
       return;
     }
+    if (!context.isPermitted(entry, selected.permitUntilNs())) {
+      context.table().release(entry, connection);
+      onNoBackendSelected(NotRunReason.RATE_LIMITED, !activeAttempts.isEmpty());
+      return;
+    }
     if (!route.kind().isRepeatable() && mayHaveRunCount > 0) {
       context.reportViolation(Invariant.NON_IDEMPOTENT_ONCE, message, mayHaveRunCount);
       context.table().release(entry, connection);
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
@@ -4,14 +4,17 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.cowslipstair.edge.FrontSettings;
 import org.cowslipstair.edge.ProtocolHeaders;
+import org.cowslipstair.edge.backend.BackendEntry;
 import org.cowslipstair.edge.backend.BackendTable;
 import org.cowslipstair.edge.backend.Prober;
 import org.cowslipstair.edge.backend.RateLimitHeader;
+import org.cowslipstair.edge.permit.PermitService;
 import org.cowslipstair.logic.budget.ColdSendLimiter;
 import org.cowslipstair.logic.budget.RetryBudget;
 import org.cowslipstair.logic.budget.WeightedServiceSelector;
@@ -75,6 +78,7 @@
   public record Fleet(
       Supplier<List<String>> gateways,
       ColdSendLimiter coldAllowance,
+      PermitService permits,
       CandidateOrder order,
       InvariantMonitor monitor) {}
 
@@ -165,6 +169,16 @@
         .next(route.services());
   }
 
+  /**
+   * Returns whether the rate limit of a backend server allows a request now.
+   *
+   * @param permitUntilNs monotonic time until which a permit allows it; empty without a permit
+   */
+  boolean isPermitted(BackendEntry entry, OptionalLong permitUntilNs) {
+    return entry.stats().rateLimit().isEmpty()
+        || permitUntilNs.isPresent() && nowNs() - permitUntilNs.getAsLong() < 0;
+  }
+
   void reportViolation(Invariant invariant, RequestMessage message, long observed) {
     String subject = message.requestId().orElse("");
     dependencies.fleet().monitor().recordViolation(new Violation(invariant, subject, observed, 0));
--- /dev/null
+++ b/edge/src/main/java/org/cowslipstair/edge/peer/PeerFrames.java
@@ -0,0 +1,54 @@
+package org.cowslipstair.edge.peer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import java.net.InetSocketAddress;
+import org.cowslipstair.model.config.HostPort;
+
+/** Frames with a length in front, as gateways send them to each other. */
+public final class PeerFrames {
+  private static final int LENGTH_FIELD_BYTES = 4;
+
+  private PeerFrames() {}
+
+  /** Creates a decoder that fails on frames above a size. */
+  public static ChannelHandler decoder(int maxFrameBytes) {
+    return new LengthFieldBasedFrameDecoder(
+        maxFrameBytes, 0, LENGTH_FIELD_BYTES, 0, LENGTH_FIELD_BYTES);
+  }
+
+  /** Creates an encoder. */
+  public static ChannelHandler encoder() {
+    return new LengthFieldPrepender(LENGTH_FIELD_BYTES);
+  }
+
+  /**
+   * Connects to another gateway.
+   *
+   * @param handler receives the frames
+   */
+  public static ChannelFuture connect(
+      EventLoop loop, HostPort address, int timeoutMs, int maxFrameBytes, ChannelHandler handler) {
+    return new Bootstrap()
+        .group(loop)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
+        .handler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel opened) {
+                opened.pipeline().addLast(decoder(maxFrameBytes), encoder(), handler);
+              }
+            })
+        .connect(new InetSocketAddress(address.host(), address.port()));
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/cowslipstair/edge/permit/PermitLink.java
@@ -0,0 +1,160 @@
+package org.cowslipstair.edge.permit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.util.ArrayList;
+import java.util.List;
+import org.cowslipstair.edge.peer.PeerFrames;
+import org.cowslipstair.model.config.HostPort;
+import org.cowslipstair.port.MonotonicClock;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Connection to a gateway that issues permits. Pings it, since a connection can go silent without
+ * being closed. Confined to its event loop.
+ */
+final class PermitLink {
+  private static final int CONNECT_TIMEOUT_MS = 300;
+
+  /** The other gateway sends the state of the store if it receives no frame soon enough. */
+  private static final int MAX_FRAME_BYTES = 8 << 20;
+
+  /** Time without a frame in response to a ping, after which the gateway is unreachable. */
+  private static final long MAX_SILENCE_NS = 400_000_000L;
+
+  /** Time without a request after which the link is closed. */
+  private static final long MAX_IDLE_NS = 10_000_000_000L;
+
+  private final MonotonicClock clock;
+  private final Listener listener;
+  private final List<PermitMessage> unsentMessages = new ArrayList<>();
+  private @Nullable Channel channel;
+  private boolean connected;
+  private boolean closed;
+  private boolean isAwaitingFrame;
+  private long awaitingSinceNs;
+  private long lastUsedNs;
+
+  /** Receives the events of a link. */
+  interface Listener {
+    /** A message arrived. */
+    void onMessage(PermitMessage message);
+
+    /** The link was closed by the other side, or the other side did not respond. */
+    void onLost();
+  }
+
+  PermitLink(MonotonicClock clock, Listener listener) {
+    this.clock = clock;
+    this.listener = listener;
+    this.lastUsedNs = clock.nowNs();
+  }
+
+  void open(EventLoop loop, HostPort address) {
+    ping();
+    ChannelFuture connecting =
+        PeerFrames.connect(loop, address, CONNECT_TIMEOUT_MS, MAX_FRAME_BYTES, new FrameHandler());
+    channel = connecting.channel();
+    connecting.addListener(
+        _ -> {
+          if (!connecting.isSuccess()) {
+            lose();
+            return;
+          }
+          connected = true;
+          unsentMessages.forEach(this::write);
+          unsentMessages.clear();
+        });
+  }
+
+  /** Sends a message, as soon as the connection is open. */
+  void send(PermitMessage message) {
+    lastUsedNs = clock.nowNs();
+    sendUnused(message);
+  }
+
+  private void sendUnused(PermitMessage message) {
+    if (connected) {
+      write(message);
+    } else {
+      unsentMessages.add(message);
+    }
+  }
+
+  private void write(PermitMessage message) {
+    Channel opened = channel;
+    if (opened != null && !closed) {
+      opened.writeAndFlush(Unpooled.wrappedBuffer(PermitCodec.encode(message)));
+    }
+  }
+
+  private void ping() {
+    isAwaitingFrame = true;
+    awaitingSinceNs = clock.nowNs();
+    sendUnused(new PermitMessage.Ping());
+  }
+
+  /**
+   * Pings the other gateway, or gives up the link if it has not responded in time.
+   *
+   * @return whether the link is still in use
+   */
+  boolean check(long nowNs) {
+    if (isAwaitingFrame && nowNs - awaitingSinceNs > MAX_SILENCE_NS) {
+      lose();
+      return false;
+    }
+    if (nowNs - lastUsedNs > MAX_IDLE_NS) {
+      close();
+      return false;
+    }
+    if (!isAwaitingFrame) {
+      ping();
+    }
+    return true;
+  }
+
+  private void lose() {
+    if (!closed) {
+      close();
+      listener.onLost();
+    }
+  }
+
+  private void close() {
+    closed = true;
+    if (channel != null) {
+      channel.close();
+    }
+  }
+
+  private final class FrameHandler extends SimpleChannelInboundHandler<ByteBuf> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, ByteBuf frame)
+        throws MalformedPermitMessageException {
+      byte[] bytes = new byte[frame.readableBytes()];
+      frame.readBytes(bytes);
+      if (closed || !PermitCodec.isPermitMessage(bytes)) {
+        return;
+      }
+      PermitMessage message = PermitCodec.decode(bytes);
+      isAwaitingFrame = false;
+      listener.onMessage(message);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+      lose();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      lose();
+    }
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/cowslipstair/edge/permit/PermitMessage.java
@@ -0,0 +1,62 @@
+package org.cowslipstair.edge.permit;
+
+import java.util.Optional;
+import org.cowslipstair.model.config.BackendName;
+import org.cowslipstair.model.traffic.RateLimit;
+
+/** Message between a gateway and the one that issues the permits of a backend server. */
+sealed interface PermitMessage {
+  /** Checks that the other gateway responds. */
+  record Ping() implements PermitMessage {}
+
+  /** Response to a ping. */
+  record Pong() implements PermitMessage {}
+
+  /**
+   * Requests a permit.
+   *
+   * @param id number of the request on its connection; the reply repeats it
+   * @param requests number of requests that the permit is for, probes included; 1 or 2
+   */
+  record Request(long id, Backend backend, int requests, Optional<Observed> observed)
+      implements PermitMessage {
+    /** Validates the number. */
+    public Request {
+      if (requests < 1 || requests > 2) {
+        throw new IllegalArgumentException("permit for " + requests + " requests");
+      }
+    }
+  }
+
+  /** Responds to a request for a permit. */
+  record Reply(long id, Verdict verdict, Optional<Observed> observed) implements PermitMessage {}
+
+  /** Reports a change of a rate limit. */
+  record Report(Backend backend, Observed observed) implements PermitMessage {}
+
+  /** One process of a backend server. */
+  record Backend(BackendName name, long startedUnixMs) {}
+
+  /**
+   * Newest observation of the sender.
+   *
+   * @param limit advertised limit; empty if the backend server advertises none
+   * @param ageMs time since the observation
+   */
+  record Observed(Optional<RateLimit> limit, long ageMs) {}
+
+  /** Decision about a request. */
+  sealed interface Verdict {
+    /** One request may be sent. */
+    record Granted() implements Verdict {}
+
+    /** The backend server does not advertise a limit any more. */
+    record Unlimited() implements Verdict {}
+
+    /** No permit is available for the given time. */
+    record Denied(long availableInMs) implements Verdict {}
+
+    /** The receiver does not issue the permits of the backend server. */
+    record NotIssuer() implements Verdict {}
+  }
+}
--- a/edge/src/main/java/org/cowslipstair/edge/relay/RelayLink.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/RelayLink.java
@@ -1,18 +1,12 @@
 package org.cowslipstair.edge.relay;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
-import java.net.InetSocketAddress;
+import org.cowslipstair.edge.peer.PeerFrames;
 import org.cowslipstair.model.traffic.GatewayEntry;
 import org.cowslipstair.port.MonotonicClock;
 import org.jboss.logging.Logger;
@@ -51,28 +45,8 @@
 
   void open(EventLoop loop) {
     ChannelFuture connecting =
-        new Bootstrap()
-            .group(loop)
-            .channel(NioSocketChannel.class)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-            .handler(
-                new ChannelInitializer<SocketChannel>() {
-                  @Override
-                  protected void initChannel(SocketChannel opened) {
-                    opened
-                        .pipeline()
-                        .addLast(
-                            new LengthFieldBasedFrameDecoder(
-                                MAX_FRAME_BYTES,
-                                0,
-                                RelayServer.LENGTH_FIELD_BYTES,
-                                0,
-                                RelayServer.LENGTH_FIELD_BYTES),
-                            new FrameHandler());
-                  }
-                })
-            .connect(new InetSocketAddress(peer.relayAddress().host(), peer.relayAddress().port()));
+        PeerFrames.connect(
+            loop, peer.relayAddress(), CONNECT_TIMEOUT_MS, MAX_FRAME_BYTES, new FrameHandler());
     channel = connecting.channel();
     connecting.addListener(
         _ -> {
--- a/edge/src/main/java/org/cowslipstair/edge/relay/RelayServer.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/RelayServer.java
@@ -1,44 +1,70 @@
 package org.cowslipstair.edge.relay;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.LengthFieldPrepender;
-import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.cowslipstair.edge.peer.PeerFrames;
 import org.cowslipstair.model.config.HostPort;
 import org.cowslipstair.port.MonotonicClock;
 
-/** Relays the state of the store to the gateways that connect. Confined to its event loop. */
+/**
+ * Relays the state of the store to the gateways that connect, unless they send a frame first: then
+ * they get responses to their frames instead. Confined to its event loop.
+ */
 public final class RelayServer {
-  static final int LENGTH_FIELD_BYTES = 4;
-
   /** Maximum bytes queued for one subscriber; one that does not read is disconnected. */
   private static final int MAX_QUEUED_BYTES = 8 << 20;
 
+  /** Maximum size of a frame from another gateway. */
+  private static final int MAX_FRAME_BYTES = 4_096;
+
+  /** Time in which a gateway that does not subscribe sends its first frame. */
+  private static final long FIRST_FRAME_TIMEOUT_MS = 20;
+
   private final RelayCodec codec;
   private final Supplier<List<RelayMessage>> initialMessages;
+  private final FrameHandler frameHandler;
   private final Set<Channel> subscribers = new HashSet<>();
 
+  /** Responds to frames of other gateways. */
+  public interface FrameHandler {
+    /**
+     * Returns the response to a frame; empty if there is none.
+     *
+     * @throws IOException if the frame is malformed; the connection is closed then
+     */
+    Optional<byte[]> onFrame(byte[] frame) throws IOException;
+  }
+
   /**
    * Creates a server.
    *
    * @param initialMessages returns the messages that bring a new subscriber up to date
+   * @param frameHandler responds to the frames of gateways that do not subscribe
    */
-  RelayServer(MonotonicClock clock, Supplier<List<RelayMessage>> initialMessages) {
+  RelayServer(
+      MonotonicClock clock,
+      Supplier<List<RelayMessage>> initialMessages,
+      FrameHandler frameHandler) {
     this.codec = new RelayCodec(clock);
     this.initialMessages = initialMessages;
+    this.frameHandler = frameHandler;
   }
 
   /** Starts to accept subscribers and returns the bound port. */
@@ -56,7 +82,9 @@
                     accepted
                         .pipeline()
                         .addLast(
-                            new LengthFieldPrepender(LENGTH_FIELD_BYTES), new SubscriberHandler());
+                            PeerFrames.decoder(MAX_FRAME_BYTES),
+                            PeerFrames.encoder(),
+                            new PeerHandler());
                   }
                 });
     Channel channel =
@@ -88,18 +116,31 @@
     return subscribers.size();
   }
 
-  private final class SubscriberHandler extends ChannelInboundHandlerAdapter {
+  private final class PeerHandler extends SimpleChannelInboundHandler<ByteBuf> {
+    private boolean hasSentFrame;
+
     @Override
     public void channelActive(ChannelHandlerContext context) {
-      subscribers.add(context.channel());
-      initialMessages.get().forEach(message -> send(context.channel(), codec.encode(message)));
+      context
+          .executor()
+          .schedule(
+              () -> subscribe(context.channel()), FIRST_FRAME_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void subscribe(Channel channel) {
+      if (!hasSentFrame && channel.isActive()) {
+        subscribers.add(channel);
+        initialMessages.get().forEach(message -> send(channel, codec.encode(message)));
+      }
     }
 
     @Override
-    public void channelRead(ChannelHandlerContext context, Object message) {
-      // Subscribers send nothing.
-      ReferenceCountUtil.release(message);
-      context.close();
+    protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) throws IOException {
+      hasSentFrame = true;
+      subscribers.remove(context.channel());
+      byte[] bytes = new byte[frame.readableBytes()];
+      frame.readBytes(bytes);
+      frameHandler.onFrame(bytes).ifPresent(response -> send(context.channel(), response));
     }
 
     @Override
--- a/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
@@ -91,12 +91,14 @@
    * Creates a synchronizer that is not started.
    *
    * @param onChange called on the event loop after the state has changed
+   * @param frameHandler responds to the frames of other gateways
    */
   public StateSync(
       FrontSettings settings,
       GatewayComponents components,
       TrafficStateCache stateCache,
-      Runnable onChange) {
+      Runnable onChange,
+      RelayServer.FrameHandler frameHandler) {
     this.settings = settings;
     this.components = components;
     this.scheduler = Schedulers.from(components.loop());
@@ -113,7 +115,7 @@
     this.startedNs = components.clock().nowNs();
     this.fleetUnknownUntilNs = startedNs;
     this.self = new GatewayEntry(settings.name(), settings.zone(), settings.relay().address());
-    this.server = new RelayServer(components.clock(), this::snapshotMessages);
+    this.server = new RelayServer(components.clock(), this::snapshotMessages, frameHandler);
     this.subscriptions =
         new RelaySubscriptions(
             settings, components.loop(), components.clock(), this::onRelayMessage);
--- a/edge/src/test/java/org/cowslipstair/edge/GatewayFixture.java
+++ b/edge/src/test/java/org/cowslipstair/edge/GatewayFixture.java
@@ -1,5 +1,7 @@
 package org.cowslipstair.edge;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -58,6 +60,7 @@
   final List<ScriptedBackend> backends = new ArrayList<>();
   final List<Violation> violations = new CopyOnWriteArrayList<>();
   final List<FrontGateway> gateways = new ArrayList<>();
+  private final List<EventLoop> loops = new ArrayList<>();
   final FrontGateway gateway;
   private final List<GatewayEntry> gatewayEntries = new ArrayList<>();
   private final boolean hasConfiguration;
@@ -154,6 +157,7 @@
             5,
             new FrontSettings.FleetLimits(probesPerSecond, 3_000, 400L << 20, 50));
     EventLoop loop = group.next();
+    loops.add(loop);
     ServerSocketChannel socket = CallerServer.bind(new HostPort("127.0.0.1", 0));
     onListening.accept(socket.socket().getLocalPort());
     return FrontGateway.start(
@@ -173,6 +177,28 @@
     return backends.getFirst();
   }
 
+  /** Freezes a gateway for the given time. */
+  void freeze(int index, long ms) {
+    loops
+        .get(index)
+        .execute(
+            () -> {
+              try {
+                TimeUnit.MILLISECONDS.sleep(ms);
+              } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+              }
+            });
+  }
+
+  /** Returns the state dump of a gateway. */
+  JsonNode state(int index) throws IOException {
+    try (RawClient client = new RawClient(gateways.get(index).readyPort())) {
+      return new ObjectMapper()
+          .readTree(client.send("GET /state HTTP/1.1\r\nHost: g\r\n\r\n").body());
+    }
+  }
+
   RawClient client() throws IOException {
     return new RawClient(gateway.callerPort());
   }
--- a/edge/src/test/java/org/cowslipstair/edge/relay/RelayServerTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/relay/RelayServerTest.java
@@ -9,6 +9,7 @@
 import java.net.InetAddress;
 import java.net.Socket;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.cowslipstair.model.config.HostPort;
 import org.cowslipstair.port.MonotonicClock;
@@ -27,10 +28,15 @@
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
   }
 
+  private static Optional<byte[]> reject(byte[] frame) throws IOException {
+    throw new IOException("unexpected frame of " + frame.length + " bytes");
+  }
+
   @Test
   void subscriberThatSendsBytesWithoutEndLosesItsConnection()
       throws IOException, InterruptedException {
-    RelayServer server = new RelayServer(MonotonicClock.system(), List::of);
+    RelayServer server =
+        new RelayServer(MonotonicClock.system(), List::of, RelayServerTest::reject);
     int port = server.open(group.next(), new HostPort("127.0.0.1", 0));
     byte[] part = new byte[64 * 1024];
     long writtenBytes = 0;
--- a/edge/src/test/java/org/cowslipstair/edge/relay/StateSyncTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/relay/StateSyncTest.java
@@ -149,7 +149,8 @@
               settings,
               components,
               stateCache,
-              () -> version = stateCache.state(0).plan().map(TrafficPlan::version).orElse(0L));
+              () -> version = stateCache.state(0).plan().map(TrafficPlan::version).orElse(0L),
+              _ -> Optional.empty());
       sync.start();
       await(() -> announced.containsKey(name) || storeUnreachable);
     }
--- a/lib/src/main/java/org/cowslipstair/logic/budget/ColdSendLimiter.java
+++ b/lib/src/main/java/org/cowslipstair/logic/budget/ColdSendLimiter.java
@@ -1,8 +1,5 @@
 package org.cowslipstair.logic.budget;
 
-import com.google.common.hash.HashFunction;
-import com.google.common.hash.Hashing;
-import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -18,7 +15,6 @@
  * holds even while the gateways have two entirely different views of the fleet.
  */
 public final class ColdSendLimiter {
-  private static final HashFunction HASH = Hashing.murmur3_128();
   private static final long NS_PER_SECOND = 1_000_000_000L;
 
   /** Maximum sends of one owner in any one second. */
@@ -105,17 +101,13 @@
   }
 
   private int computeRankOfSelf(BackendName backend, Collection<String> gateways) {
-    long ownWeight = weight(backend, self);
+    long ownWeight = GatewayRanking.weight(backend, self);
     int rank = 0;
     for (String gateway : gateways) {
-      if (!gateway.equals(self) && weight(backend, gateway) > ownWeight) {
+      if (!gateway.equals(self) && GatewayRanking.weight(backend, gateway) > ownWeight) {
         rank++;
       }
     }
     return rank;
   }
-
-  private static long weight(BackendName backend, String gateway) {
-    return HASH.hashString(backend.value() + "/" + gateway, StandardCharsets.UTF_8).asLong();
-  }
 }
--- a/lib/src/main/java/org/cowslipstair/logic/call/RetryAfter.java
+++ b/lib/src/main/java/org/cowslipstair/logic/call/RetryAfter.java
@@ -22,6 +22,7 @@
       case NO_ROUTE, DUPLICATE_KEY, MISSING_KEY, CALLER_GONE -> 0;
       case NO_BACKEND,
           NO_FREE_SLOT,
+          RATE_LIMITED,
           DEADLINE_TOO_CLOSE,
           BACKEND_SHED,
           BACKEND_UNREACHABLE,
--- a/lib/src/main/java/org/cowslipstair/logic/invariant/Invariant.java
+++ b/lib/src/main/java/org/cowslipstair/logic/invariant/Invariant.java
@@ -4,6 +4,7 @@
 public enum Invariant {
   LEASES_WITHIN_LIMIT,
   COLD_LIMIT,
+  RATE_LIMIT,
   PROBE_BUDGET,
   HEDGE_BUDGET,
   RETRY_BUDGET,
--- a/lib/src/main/java/org/cowslipstair/logic/placement/BackendStats.java
+++ b/lib/src/main/java/org/cowslipstair/logic/placement/BackendStats.java
@@ -4,6 +4,7 @@
 import org.cowslipstair.model.traffic.BackendInstance;
 import org.cowslipstair.model.traffic.LoadReport;
 import org.cowslipstair.model.traffic.RateLimit;
+import org.cowslipstair.model.traffic.RateLimitObservation;
 
 /**
  * Request counts, health, cold state and failures of one backend instance, as observed by this
@@ -47,7 +48,7 @@
   private Optional<LoadReport> report = Optional.empty();
   private long reportNs;
   private int sentSinceReport;
-  private Optional<RateLimit> rateLimit = Optional.empty();
+  private Optional<RateLimitObservation> rateLimit = Optional.empty();
   private long limitedRequestCount;
   private long limitedProbeCount;
 
@@ -78,7 +79,7 @@
       unansweredSinceNs = nowNs;
     }
     pendingProbes++;
-    limitedProbeCount += rateLimit.isPresent() ? 1 : 0;
+    limitedProbeCount += rateLimit().isPresent() ? 1 : 0;
   }
 
   /** Records that a probe ended, with or without a response. */
@@ -130,20 +131,27 @@
   }
 
   /**
-   * Records the rate limit that the backend server advertises now.
+   * Records the rate limit that the backend server advertises, unless a newer observation is known.
    *
-   * @param newLimit limit; empty if the backend server has none
-   * @return whether it differs from the one recorded before
+   * @return whether the limit differs from the one recorded before
    */
-  public boolean recordRateLimit(Optional<RateLimit> newLimit) {
-    boolean hasChanged = !newLimit.equals(rateLimit);
-    rateLimit = newLimit;
+  public boolean recordRateLimit(RateLimitObservation observation) {
+    if (rateLimit.isPresent() && !observation.isNewerThan(rateLimit.get())) {
+      return false;
+    }
+    boolean hasChanged = !observation.limit().equals(rateLimit());
+    rateLimit = Optional.of(observation);
     return hasChanged;
   }
 
+  /** Returns the newest observation of the rate limit; empty if there was none. */
+  public Optional<RateLimitObservation> rateLimitObservation() {
+    return rateLimit;
+  }
+
   /** Returns the rate limit that the backend server advertises; empty if it has none. */
   public Optional<RateLimit> rateLimit() {
-    return rateLimit;
+    return rateLimit.flatMap(RateLimitObservation::limit);
   }
 
   /** Returns the number of requests sent from here while a rate limit was known. */
@@ -160,7 +168,7 @@
   public void recordRequestStart() {
     inFlight++;
     sentSinceReport++;
-    limitedRequestCount += rateLimit.isPresent() ? 1 : 0;
+    limitedRequestCount += rateLimit().isPresent() ? 1 : 0;
   }
 
   /** Counts a request sent from here as finished. */
