--- a/adapters/src/main/java/org/cowslipstair/adapters/http/Problem.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/http/Problem.java
@@ -70,6 +70,7 @@
       case CALLER_GONE -> 400;
       case NO_BACKEND,
           NO_FREE_SLOT,
+          RATE_LIMITED,
           DEADLINE_TOO_CLOSE,
           BACKEND_SHED,
           BACKEND_UNREACHABLE,
