Tell all gateways of a new rate limit instead of letting each exceed it once

A gateway learned of a limit only by a response of its own, so that 17 gateways still sent a server 17 requests, and the probes for them, before all of them knew. The gateway that sees a new limit tells the issuer, which tells all others; later changes are learned with the next permit. Links are no longer pinged all the time: an unanswered request shows silence as well.

RateLimitFleetTest.responseToOneGatewayMakesTheLimitKnownToAll fails on the previous commit (limit 0.0, 2.0 expected).

--- a/edge/src/main/java/org/cowslipstair/edge/permit/PermitLink.java
+++ b/edge/src/main/java/org/cowslipstair/edge/permit/PermitLink.java
@@ -15,8 +15,9 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Connection to a gateway that issues permits. Pings it, since a connection can go silent without
- * being closed. Confined to its event loop.
+ * Connection to a gateway that issues permits. It counts as lost if a request or a ping is not
+ * answered in time, since a connection can go silent without being closed. Confined to its event
+ * loop.
  */
 final class PermitLink {
   private static final int CONNECT_TIMEOUT_MS = 300;
@@ -24,9 +25,12 @@
   /** The other gateway sends the state of the store if it receives no frame soon enough. */
   private static final int MAX_FRAME_BYTES = 8 << 20;
 
-  /** Time without a frame in response to a ping, after which the gateway is unreachable. */
+  /** Time without a frame after a request or a ping, after which the gateway is unreachable. */
   private static final long MAX_SILENCE_NS = 400_000_000L;
 
+  /** Time after the last frame in which the gateway counts as reachable without a new ping. */
+  private static final long MAX_FRAME_AGE_NS = 250_000_000L;
+
   /** Time without a request after which the link is closed. */
   private static final long MAX_IDLE_NS = 10_000_000_000L;
 
@@ -38,6 +42,7 @@
   private boolean closed;
   private boolean isAwaitingFrame;
   private long awaitingSinceNs;
+  private long lastFrameNs;
   private long lastUsedNs;
 
   /** Receives the events of a link. */
@@ -53,10 +58,11 @@
     this.clock = clock;
     this.listener = listener;
     this.lastUsedNs = clock.nowNs();
+    this.lastFrameNs = lastUsedNs;
   }
 
   void open(EventLoop loop, HostPort address) {
-    ping();
+    send(new PermitMessage.Ping());
     ChannelFuture connecting =
         PeerFrames.connect(loop, address, CONNECT_TIMEOUT_MS, MAX_FRAME_BYTES, new FrameHandler());
     channel = connecting.channel();
@@ -74,11 +80,14 @@
 
   /** Sends a message, as soon as the connection is open. */
   void send(PermitMessage message) {
-    lastUsedNs = clock.nowNs();
-    sendUnused(message);
-  }
-
-  private void sendUnused(PermitMessage message) {
+    long nowNs = clock.nowNs();
+    lastUsedNs = nowNs;
+    boolean hasReply =
+        message instanceof PermitMessage.Request || message instanceof PermitMessage.Ping;
+    if (hasReply && !isAwaitingFrame) {
+      isAwaitingFrame = true;
+      awaitingSinceNs = nowNs;
+    }
     if (connected) {
       write(message);
     } else {
@@ -86,6 +95,13 @@
     }
   }
 
+  /** Pings the other gateway unless it has responded a moment ago or a response is awaited. */
+  void verify() {
+    if (!isAwaitingFrame && clock.nowNs() - lastFrameNs > MAX_FRAME_AGE_NS) {
+      send(new PermitMessage.Ping());
+    }
+  }
+
   private void write(PermitMessage message) {
     Channel opened = channel;
     if (opened != null && !closed) {
@@ -93,14 +109,8 @@
     }
   }
 
-  private void ping() {
-    isAwaitingFrame = true;
-    awaitingSinceNs = clock.nowNs();
-    sendUnused(new PermitMessage.Ping());
-  }
-
   /**
-   * Pings the other gateway, or gives up the link if it has not responded in time.
+   * Gives up the link if a response is overdue, and closes it if it is not used any more.
    *
    * @return whether the link is still in use
    */
@@ -113,9 +123,6 @@
       close();
       return false;
     }
-    if (!isAwaitingFrame) {
-      ping();
-    }
     return true;
   }
 
@@ -144,6 +151,7 @@
       }
       PermitMessage message = PermitCodec.decode(bytes);
       isAwaitingFrame = false;
+      lastFrameNs = clock.nowNs();
       listener.onMessage(message);
     }
 
--- a/edge/src/main/java/org/cowslipstair/edge/permit/PermitService.java
+++ b/edge/src/main/java/org/cowslipstair/edge/permit/PermitService.java
@@ -4,9 +4,11 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -49,6 +51,7 @@
   private final BackendTable table;
   private final Supplier<Fleet> fleet;
   private final PermitLinks links;
+  private final Set<BackendName> announcedLimits = new HashSet<>();
   private final Map<Long, PendingRequest> pendingRequests = new HashMap<>();
   private long lastRequestId;
 
@@ -145,8 +148,33 @@
 
   /** Tells the issuer that a response has changed the known rate limit of a backend server. */
   public void reportLimitChange(BackendEntry entry) {
+    Optional<String> issuer = issuer(entry);
+    if (issuer.equals(Optional.of(self))) {
+      announceNewLimit(entry);
+    } else {
+      issuer.ifPresent(gateway -> report(entry, gateway));
+    }
+  }
+
+  /**
+   * Tells all gateways of a new limit, so that they do not each exceed it once to learn of it. They
+   * learn of later changes when they request a permit.
+   */
+  private void announceNewLimit(BackendEntry entry) {
+    boolean isNew = entry.stats().rateLimit().isPresent() && announcedLimits.add(name(entry));
+    if (entry.stats().rateLimit().isEmpty()) {
+      announcedLimits.remove(name(entry));
+    }
+    if (isNew) {
+      fleet.get().names().stream()
+          .filter(gateway -> !gateway.equals(self))
+          .forEach(gateway -> report(entry, gateway));
+    }
+  }
+
+  private void report(BackendEntry entry, String gateway) {
     Optional<PermitMessage.Observed> observed = observed(entry);
-    Optional<PermitLink> link = issuer(entry).flatMap(links::find);
+    Optional<PermitLink> link = links.open(gateway);
     if (link.isPresent() && observed.isPresent()) {
       link.get().send(new PermitMessage.Report(backend(entry), observed.get()));
     }
@@ -230,7 +258,7 @@
           case PermitMessage.Ping _ -> Optional.of(new PermitMessage.Pong());
           case PermitMessage.Request request -> Optional.of(reply(request));
           case PermitMessage.Report(var backend, var observed) -> {
-            find(backend).ifPresent(entry -> record(entry, observed));
+            find(backend).ifPresent(entry -> onReport(entry, observed));
             yield Optional.empty();
           }
           case PermitMessage.Pong _, PermitMessage.Reply _ ->
@@ -256,7 +284,7 @@
               new PermitMessage.Verdict.Denied(availableInNs / NS_PER_MS);
           case RateLimitCoordinator.Response.NotIssuer(var issuer) -> {
             // A link shows whether the issuer is unreachable, so that this gateway must stand in.
-            issuer.ifPresent(links::open);
+            issuer.flatMap(links::open).ifPresent(PermitLink::verify);
             yield new PermitMessage.Verdict.NotIssuer();
           }
         };
@@ -272,6 +300,9 @@
 
   private RateLimitCoordinator.Response respond(BackendEntry entry, int requests, long nowNs) {
     List<String> gateways = fleet.get().names();
+    if (issuer(entry).equals(Optional.of(self))) {
+      announceNewLimit(entry);
+    }
     if (entry.stats().rateLimit().isPresent()) {
       coordinator
           .unconfirmed(name(entry), gateways, links::isUnreachable)
@@ -300,6 +331,13 @@
         });
   }
 
+  private void onReport(BackendEntry entry, PermitMessage.Observed observed) {
+    record(entry, observed);
+    if (issuer(entry).equals(Optional.of(self))) {
+      announceNewLimit(entry);
+    }
+  }
+
   private void record(BackendEntry entry, PermitMessage.Observed observed) {
     long observedNs = clock.nowNs() - observed.ageMs() * NS_PER_MS;
     entry.stats().recordRateLimit(new RateLimitObservation(observed.limit(), observedNs));
--- a/edge/src/test/java/org/cowslipstair/edge/RateLimitFleetTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/RateLimitFleetTest.java
@@ -8,6 +8,7 @@
 import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -80,6 +81,21 @@
     assertThat(fixture.violations, is(empty()));
   }
 
+  /** Each gateway would exceed the limit once if it had to learn of it by a request of its own. */
+  @Test
+  void responseToOneGatewayMakesTheLimitKnownToAll() throws IOException, InterruptedException {
+    fixture = GatewayFixture.fleet(GATEWAYS, 1);
+    fixture.backend().script(ScriptedBackend.Script.limited(LIMIT_PER_SECOND));
+    try (RawClient client = fixture.client()) {
+      assertThat(client.send(RawClient.get("/safe/x", "first")).status(), is(200));
+    }
+    TimeUnit.MILLISECONDS.sleep(500);
+    for (int i = 0; i < GATEWAYS; i++) {
+      JsonNode backend = fixture.state(i).path("backends").path(0);
+      assertThat(backend.path("rateLimitPerSecond").asDouble(), is(LIMIT_PER_SECOND));
+    }
+  }
+
   /** A gateway that gets no permits learns from the issuer that the limit has ended. */
   @Test
   void withdrawnLimitEndsOnAllGateways()
