Do not let each gateway of a large fleet keep a whole retry token

Where the share of the retry slack is less than a token, the bucket still held one, earned over any time. After a calm time, one bad second spends them all: with 131 gateways and a slack of 64, 90 sends beyond the first where 89.8 are allowed, with 165 gateways 125 of 105, and worse above.

A part of a token is now spent as an equal chance of a whole one, and no more than the share is kept, so that the fleet sends as many on average and its sum stays within the budget. Ruled out: whole tokens for a chosen part of the gateways (the others could never retry) and tokens that fade (a gateway with a request a second of a service never gets one). Budgets with a share of a token or more, as on all deployments seen so far (152 gateways share 230), behave as before.

FleetBudgetsTest.gatewaysThatShareLessThanATokenEachStayWithinTheBudget failed before and passes.

--- a/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
@@ -158,7 +158,8 @@
 
   private RetryBudget newRetryBudget(ServiceName service) {
     RetryBudget budget =
-        new RetryBudget(service.value(), settings().retryRatio(), dependencies.fleet().monitor());
+        new RetryBudget(
+            service.value(), settings().retryRatio(), random(), dependencies.fleet().monitor());
     observer().onRetryBudgetCreated(service, budget);
     return budget;
   }
--- a/lib/src/test/java/org/cowslipstair/logic/budget/FleetBudgetsTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/budget/FleetBudgetsTest.java
@@ -40,7 +40,7 @@
     Random random = new Random(seed);
     List<RetryBudget> budgets = new ArrayList<>();
     for (int i = 0; i < gateways; i++) {
-      RetryBudget budget = new RetryBudget("s", ratio, InvariantMonitor.failing());
+      RetryBudget budget = new RetryBudget("s", ratio, random, InvariantMonitor.failing());
       budget.setShare(slack, gateways);
       budgets.add(budget);
     }
@@ -66,13 +66,44 @@
     }
   }
 
+  /**
+   * Each of 410 gateways keeps a token of its own though the fleet may make only 64 sends beyond
+   * the first: after a calm time, one bad second spends them all.
+   */
+  @Property(seed = "5504", tries = 40)
+  void gatewaysThatShareLessThanATokenEachStayWithinTheBudget(
+      @ForAll @IntRange(min = 65, max = 410) int gateways,
+      @ForAll @IntRange(min = 50, max = 600) int requestsInBadSecond,
+      @ForAll long seed) {
+    double slack = 64;
+    double ratio = 0.2;
+    Random random = new Random(seed);
+    List<RetryBudget> budgets = new ArrayList<>();
+    for (int i = 0; i < gateways; i++) {
+      RetryBudget budget = new RetryBudget("s", ratio, random, InvariantMonitor.failing());
+      budget.setShare(slack, gateways);
+      budgets.add(budget);
+    }
+    for (int i = 0; i < 20 * gateways; i++) {
+      budgets.get(random.nextInt(gateways)).recordRequest();
+    }
+    int retries = 0;
+    for (int i = 0; i < requestsInBadSecond; i++) {
+      RetryBudget budget = budgets.get(random.nextInt(gateways));
+      budget.recordRequest();
+      retries += budget.tryAcquireRetry() ? 1 : 0;
+    }
+    assertThat((double) retries, lessThanOrEqualTo(ratio * requestsInBadSecond + slack));
+    assertThat((double) retries, greaterThan(0.5 * ratio * requestsInBadSecond));
+  }
+
   /**
    * A calm minute of a large fleet: 152 gateways share a slack of 230, and each gets a request of
    * the service every 600 ms.
    */
   @Test
   void gatewayOfALargeFleetHedgesFromAFullBudget() {
-    RetryBudget budget = new RetryBudget("s", 0.2, InvariantMonitor.failing());
+    RetryBudget budget = new RetryBudget("s", 0.2, new Random(1), InvariantMonitor.failing());
     budget.setShare(230, 152);
     int requests = 100;
     int hedges = 0;
@@ -86,7 +117,7 @@
 
   @Test
   void hedgesLeavePartOfALargeBudgetToRetries() {
-    RetryBudget budget = new RetryBudget("s", 0.2, InvariantMonitor.failing());
+    RetryBudget budget = new RetryBudget("s", 0.2, new Random(1), InvariantMonitor.failing());
     budget.setShare(100, 1);
     while (budget.canAcquireHedge()) {
       assertThat(budget.tryAcquireHedge(), is(true));
--- a/lib/src/test/java/org/cowslipstair/logic/overload/model/ModelGateway.java
+++ b/lib/src/test/java/org/cowslipstair/logic/overload/model/ModelGateway.java
@@ -69,7 +69,7 @@
     this.zone = zone;
     this.random = new Random(1_000 + index);
     this.order = new CandidateOrder("g-" + index, new ZoneName("z" + zone), random);
-    this.budget = new RetryBudget("s", 0.2, InvariantMonitor.failing());
+    this.budget = new RetryBudget("s", 0.2, new Random(2_000 + index), InvariantMonitor.failing());
     this.budget.setShare(slack, gateways);
     this.failures = new FailureAverage(0.1, 0);
     this.returnDelay = new ReturnDelay(random);
