Read the store's epoch, log its return from a copy and lists that are ignored

Pages, changes and relay messages now carry the position of the store, its epoch and revision; the state dump and the metrics show the epoch. Decides nothing: only revisions are compared, as before. Relay messages of the previous format are rejected, so that gateways of two versions watch the store themselves until all are of one.

--- a/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
+++ b/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
@@ -181,6 +181,8 @@
     metrics.registerGauge("log.lines.dropped", BoundedAppender::droppedLines);
     metrics.registerGauge(
         "configuration.version", () -> table.state().plan().map(p -> p.version()).orElse(0L));
+    metrics.registerGauge(
+        "store.epoch", () -> stateCache.position(Collection.CONFIGURATION).epoch());
     metrics.registerGauge(
         "store.revision.backends", () -> stateCache.revision(Collection.BACKENDS));
     metrics.registerGauge("backends.known", () -> table.entries().size());
--- a/edge/src/main/java/org/cowslipstair/edge/StateDump.java
+++ b/edge/src/main/java/org/cowslipstair/edge/StateDump.java
@@ -41,6 +41,7 @@
     for (Collection collection : Collection.values()) {
       revisions.put(collection.name().toLowerCase(Locale.ROOT), stateCache.revision(collection));
     }
+    root.put("storeEpoch", stateCache.position(Collection.CONFIGURATION).epoch());
     root.putObject("relay")
         .put("watchesStore", sync.isWatching())
         .put("isSupplied", sync.isSupplied())
--- a/edge/src/main/java/org/cowslipstair/edge/http/JsonClient.java
+++ b/edge/src/main/java/org/cowslipstair/edge/http/JsonClient.java
@@ -4,7 +4,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -44,9 +46,10 @@
   /**
    * A response.
    *
+   * @param headers header fields
    * @param body text of the body
    */
-  public record Response(int status, String body) {}
+  public record Response(int status, HttpHeaders headers, String body) {}
 
   /**
    * Returns a call that sends one request when it is subscribed to.
@@ -67,6 +70,7 @@
     private @Nullable ServerConnection connection;
     private @Nullable ScheduledFuture<?> timer;
     private int status;
+    private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
     private boolean finished;
 
     Call(SingleEmitter<Response> emitter, HttpMethod method, String target, String text) {
@@ -119,6 +123,7 @@
     @Override
     public void onHead(HttpResponse head) {
       status = head.status().code();
+      headers = head.headers();
     }
 
     @Override
@@ -139,7 +144,8 @@
         if (usedConnection != null && usedConnection.isReusable()) {
           idleConnections.addFirst(usedConnection);
         }
-        emitter.onSuccess(new Response(status, receivedBytes.toString(StandardCharsets.UTF_8)));
+        emitter.onSuccess(
+            new Response(status, headers, receivedBytes.toString(StandardCharsets.UTF_8)));
       }
     }
 
--- a/edge/src/main/java/org/cowslipstair/edge/relay/RelayCodec.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/RelayCodec.java
@@ -11,6 +11,7 @@
 import org.cowslipstair.model.config.ZoneName;
 import org.cowslipstair.model.traffic.BackendInstance;
 import org.cowslipstair.model.traffic.GatewayEntry;
+import org.cowslipstair.model.traffic.StorePosition;
 import org.cowslipstair.port.MonotonicClock;
 import org.cowslipstair.port.ObjectFeed.Changes;
 import org.cowslipstair.port.ObjectFeed.Collection;
@@ -44,18 +45,22 @@
   byte[] encode(RelayMessage message) {
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
       switch (message) {
-        case RelayMessage.Snapshot(var collection, long revision, var items) -> {
-          packer.packInt(SNAPSHOT).packInt(collection.ordinal()).packLong(revision);
+        case RelayMessage.Snapshot(var collection, var position, var items) -> {
+          packer.packInt(SNAPSHOT).packInt(collection.ordinal()).packLong(position.revision());
           packItems(packer, items);
+          packer.packLong(position.epoch());
         }
         case RelayMessage.Update(var collection, Changes changes, long graceMs) -> {
-          packer.packInt(UPDATE).packInt(collection.ordinal()).packLong(changes.revision());
+          packer
+              .packInt(UPDATE)
+              .packInt(collection.ordinal())
+              .packLong(changes.position().revision());
           packItems(packer, changes.items());
           packer.packArrayHeader(changes.deleted().size());
           for (String name : changes.deleted()) {
             packer.packString(name);
           }
-          packer.packLong(graceMs);
+          packer.packLong(graceMs).packLong(changes.position().epoch());
         }
         case RelayMessage.ContactProof(long ageMs) -> packer.packInt(CONTACT_PROOF).packLong(ageMs);
       }
@@ -69,9 +74,13 @@
     try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
       int type = unpacker.unpackInt();
       return switch (type) {
-        case SNAPSHOT ->
-            new RelayMessage.Snapshot(
-                collection(unpacker), unpacker.unpackLong(), unpackItems(unpacker));
+        case SNAPSHOT -> {
+          Collection collection = collection(unpacker);
+          long revision = unpacker.unpackLong();
+          List<Item> items = unpackItems(unpacker);
+          yield new RelayMessage.Snapshot(
+              collection, new StorePosition(unpacker.unpackLong(), revision), items);
+        }
         case UPDATE -> {
           Collection collection = collection(unpacker);
           long revision = unpacker.unpackLong();
@@ -82,7 +91,8 @@
             deleted.add(unpacker.unpackString());
           }
           long graceMs = unpacker.unpackLong();
-          yield new RelayMessage.Update(collection, new Changes(items, deleted, revision), graceMs);
+          StorePosition position = new StorePosition(unpacker.unpackLong(), revision);
+          yield new RelayMessage.Update(collection, new Changes(items, deleted, position), graceMs);
         }
         case CONTACT_PROOF -> new RelayMessage.ContactProof(unpacker.unpackLong());
         default -> throw new RelayException("unknown message type " + type);
--- a/edge/src/main/java/org/cowslipstair/edge/relay/RelayMessage.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/RelayMessage.java
@@ -1,14 +1,16 @@
 package org.cowslipstair.edge.relay;
 
 import java.util.List;
+import org.cowslipstair.model.traffic.StorePosition;
 import org.cowslipstair.port.ObjectFeed.Changes;
 import org.cowslipstair.port.ObjectFeed.Collection;
 import org.cowslipstair.port.ObjectFeed.Item;
 
 /** Message from a gateway that watches the store to one that does not. */
 sealed interface RelayMessage {
-  /** A whole collection at one revision. */
-  record Snapshot(Collection collection, long revision, List<Item> items) implements RelayMessage {
+  /** A whole collection at one position of the store. */
+  record Snapshot(Collection collection, StorePosition position, List<Item> items)
+      implements RelayMessage {
     /** Copies the list. */
     public Snapshot {
       items = List.copyOf(items);
--- a/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
@@ -13,6 +13,7 @@
 import org.cowslipstair.logic.traffic.TrafficStateCache;
 import org.cowslipstair.model.config.HostPort;
 import org.cowslipstair.model.traffic.GatewayEntry;
+import org.cowslipstair.model.traffic.StorePosition;
 import org.cowslipstair.port.ObjectFeed;
 import org.cowslipstair.port.ObjectFeed.Collection;
 import org.cowslipstair.port.ObjectFeed.Freshness;
@@ -186,7 +187,7 @@
         .subscribe(
             page -> {
               hasListedFleet = true;
-              onListed(Collection.GATEWAYS, page.items(), page.revision(), 0);
+              onListed(Collection.GATEWAYS, page.items(), page.position(), 0);
               announceIfNotListed();
               updateWatching();
             },
@@ -229,7 +230,7 @@
 
   private void applyCachedList(Collection collection, ObjectFeed.Page page) {
     if (!page.hasMore() && stateCache.revision(collection) == 0) {
-      stateCache.replace(collection, page.items(), page.revision(), components.clock().nowNs(), 0);
+      stateCache.replace(collection, page.items(), page.position(), components.clock().nowNs(), 0);
       onChange.run();
     }
   }
@@ -315,17 +316,16 @@
       if (stateCache.revision(collection) > 0) {
         messages.add(
             new RelayMessage.Snapshot(
-                collection, stateCache.revision(collection), stateCache.items(collection)));
+                collection, stateCache.position(collection), stateCache.items(collection)));
       }
     }
     return messages;
   }
 
   private void onRelayMessage(RelayMessage message) {
-    long nowNs = components.clock().nowNs();
     switch (message) {
-      case RelayMessage.Snapshot(var collection, long revision, var items) -> {
-        if (stateCache.replace(collection, items, revision, nowNs, 0)) {
+      case RelayMessage.Snapshot(var collection, var position, var items) -> {
+        if (replace(collection, items, position, 0)) {
           onChange.run();
         }
       }
@@ -337,15 +337,14 @@
 
   @Override
   public void onListed(
-      Collection collection, List<ObjectFeed.Item> items, long revision, long graceNs) {
-    long nowNs = components.clock().nowNs();
-    recordContact(nowNs);
-    stateCache.replace(collection, items, revision, nowNs, graceNs);
+      Collection collection, List<ObjectFeed.Item> items, StorePosition position, long graceNs) {
+    recordContact(components.clock().nowNs());
+    replace(collection, items, position, graceNs);
     scheduleRefresh(graceNs);
     onChange.run();
     server.publish(
         new RelayMessage.Snapshot(
-            collection, stateCache.revision(collection), stateCache.items(collection)));
+            collection, stateCache.position(collection), stateCache.items(collection)));
   }
 
   @Override
@@ -355,6 +354,24 @@
     server.publish(new RelayMessage.Update(collection, changes, graceNs / NS_PER_MS));
   }
 
+  private boolean replace(
+      Collection collection, List<ObjectFeed.Item> items, StorePosition position, long graceNs) {
+    StorePosition previous = stateCache.position(collection);
+    if (position.epoch() > previous.epoch() && previous.revision() > 0) {
+      LOG.warnf(
+          "store: returned from a copy: %s at revision %s after %s",
+          collection, position, previous);
+    }
+    boolean hasChanged =
+        stateCache.replace(collection, items, position, components.clock().nowNs(), graceNs);
+    if (!stateCache.position(collection).equals(position)) {
+      LOG.warnf(
+          "store: ignored list of %s at revision %s, since %s is known",
+          collection, position, stateCache.position(collection));
+    }
+    return hasChanged;
+  }
+
   private void apply(Collection collection, ObjectFeed.Changes changes, long graceNs) {
     if (stateCache.apply(collection, changes, components.clock().nowNs(), graceNs)) {
       scheduleRefresh(graceNs);
--- a/edge/src/main/java/org/cowslipstair/edge/sync/CollectionFollower.java
+++ b/edge/src/main/java/org/cowslipstair/edge/sync/CollectionFollower.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.cowslipstair.model.traffic.StorePosition;
 import org.cowslipstair.port.ObjectFeed;
 import org.cowslipstair.port.ObjectFeed.Collection;
 import org.cowslipstair.port.ObjectFeed.Freshness;
@@ -32,7 +33,7 @@
   private final long changeBatchDelayMs;
   private final SerialDisposable pendingCall = new SerialDisposable();
   private List<Item> listedItems = new ArrayList<>();
-  private long listRevision;
+  private StorePosition listPosition = StorePosition.none();
   private long revision;
   private boolean failed;
   private boolean suspended;
@@ -41,7 +42,7 @@
   /** Receives the content of the collection. */
   public interface Listener {
     /** Called with the whole collection. */
-    void onListed(Collection collection, List<Item> items, long revision);
+    void onListed(Collection collection, List<Item> items, StorePosition position);
 
     /** Called with the changes since the last call. */
     void onChanged(Collection collection, ObjectFeed.Changes changes);
@@ -110,7 +111,7 @@
   private void list(Optional<String> after) {
     if (after.isEmpty()) {
       listedItems = new ArrayList<>();
-      listRevision = 0;
+      listPosition = StorePosition.none();
     }
     pendingCall.set(
         feed.list(collection, after, freshness)
@@ -120,14 +121,16 @@
 
   private void handlePage(ObjectFeed.Page page) {
     listedItems.addAll(page.items());
-    listRevision = listRevision == 0 ? page.revision() : Math.min(listRevision, page.revision());
+    boolean isFirstOrEarlier =
+        listPosition.revision() == 0 || page.position().compareTo(listPosition) < 0;
+    listPosition = isFirstOrEarlier ? page.position() : listPosition;
     if (page.hasMore() && !page.items().isEmpty()) {
       list(Optional.of(page.items().getLast().name()));
       return;
     }
     handleSuccess();
-    revision = listRevision;
-    listener.onListed(collection, listedItems, listRevision);
+    revision = listPosition.revision();
+    listener.onListed(collection, listedItems, listPosition);
     watch();
   }
 
@@ -140,7 +143,7 @@
 
   private void handleChanges(ObjectFeed.Changes changes) {
     handleSuccess();
-    revision = Math.max(revision, changes.revision());
+    revision = Math.max(revision, changes.position().revision());
     boolean hasChanges = !changes.items().isEmpty() || !changes.deleted().isEmpty();
     if (hasChanges) {
       listener.onChanged(collection, changes);
--- a/edge/src/main/java/org/cowslipstair/edge/sync/StoreWatch.java
+++ b/edge/src/main/java/org/cowslipstair/edge/sync/StoreWatch.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.cowslipstair.logic.traffic.OutageTracker;
+import org.cowslipstair.model.traffic.StorePosition;
 import org.cowslipstair.port.MonotonicClock;
 import org.cowslipstair.port.ObjectFeed;
 import org.cowslipstair.port.ObjectFeed.Collection;
@@ -41,7 +42,8 @@
    */
   public interface Listener {
     /** Called with a whole collection. */
-    void onListed(Collection collection, List<ObjectFeed.Item> items, long revision, long graceNs);
+    void onListed(
+        Collection collection, List<ObjectFeed.Item> items, StorePosition position, long graceNs);
 
     /** Called with changes of a collection. */
     void onChanged(Collection collection, ObjectFeed.Changes changes, long graceNs);
@@ -129,9 +131,10 @@
 
   private final class FollowerListener implements CollectionFollower.Listener {
     @Override
-    public void onListed(Collection collection, List<ObjectFeed.Item> items, long revision) {
+    public void onListed(
+        Collection collection, List<ObjectFeed.Item> items, StorePosition position) {
       outdatedCollections.remove(collection);
-      listener.onListed(collection, items, revision, graceNs());
+      listener.onListed(collection, items, position, graceNs());
     }
 
     @Override
--- a/edge/src/test/java/org/cowslipstair/edge/GatewayFixture.java
+++ b/edge/src/test/java/org/cowslipstair/edge/GatewayFixture.java
@@ -32,6 +32,7 @@
 import org.cowslipstair.model.traffic.RequestKind;
 import org.cowslipstair.model.traffic.Route;
 import org.cowslipstair.model.traffic.ServiceConfig;
+import org.cowslipstair.model.traffic.StorePosition;
 import org.cowslipstair.model.traffic.TrafficPlan;
 import org.cowslipstair.model.traffic.WeightedService;
 import org.cowslipstair.port.MonotonicClock;
@@ -257,7 +258,7 @@
                     .toList();
             case ZONES_OUT -> List.of();
           };
-      return Single.just(new Page(items, false, 1));
+      return Single.just(new Page(items, false, new StorePosition(0, 1)));
     }
 
     private Content instance(ScriptedBackend backend) {
--- a/edge/src/test/java/org/cowslipstair/edge/relay/RelayCodecTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/relay/RelayCodecTest.java
@@ -20,6 +20,7 @@
 import org.cowslipstair.model.traffic.RequestKind;
 import org.cowslipstair.model.traffic.Route;
 import org.cowslipstair.model.traffic.ServiceConfig;
+import org.cowslipstair.model.traffic.StorePosition;
 import org.cowslipstair.model.traffic.TrafficPlan;
 import org.cowslipstair.model.traffic.WeightedService;
 import org.cowslipstair.port.ObjectFeed.Changes;
@@ -59,10 +60,14 @@
   void coldDeadlineIsSentAsRemainingTime() throws RelayException {
     RelayMessage sent =
         new RelayMessage.Snapshot(
-            Collection.BACKENDS, 9, List.of(backend(SENDER_NS + 3_000_000_000L)));
+            Collection.BACKENDS,
+            new StorePosition(2, 9),
+            List.of(backend(SENDER_NS + 3_000_000_000L)));
     RelayMessage expected =
         new RelayMessage.Snapshot(
-            Collection.BACKENDS, 9, List.of(backend(RECEIVER_NS + 3_000_000_000L)));
+            Collection.BACKENDS,
+            new StorePosition(2, 9),
+            List.of(backend(RECEIVER_NS + 3_000_000_000L)));
     assertThat(roundTrip(sent), is(expected));
   }
 
@@ -75,7 +80,7 @@
                 new Item("g", 5, new Content.Gateway(gateway)),
                 new Item("z", 6, new Content.ZoneOut(ZONE))),
             Set.of("gone"),
-            7);
+            new StorePosition(2, 7));
     RelayMessage sent = new RelayMessage.Update(Collection.GATEWAYS, changes, 1_500);
     assertThat(roundTrip(sent), is(sent));
     assertThat(roundTrip(new RelayMessage.ContactProof(12)), is(new RelayMessage.ContactProof(12)));
@@ -100,7 +105,9 @@
     TrafficPlan plan = new TrafficPlan(12, bounds, List.of(serviceConfig), List.of(route));
     RelayMessage sent =
         new RelayMessage.Snapshot(
-            Collection.CONFIGURATION, 9, List.of(new Item("main", 8, new Content.Plan(plan))));
+            Collection.CONFIGURATION,
+            new StorePosition(2, 9),
+            List.of(new Item("main", 8, new Content.Plan(plan))));
     RelayMessage.Snapshot received = (RelayMessage.Snapshot) roundTrip(sent);
     TrafficPlan decoded = ((Content.Plan) received.items().getFirst().content()).plan();
     assertThat(decoded.version(), is(12L));
@@ -123,7 +130,9 @@
   @Test
   void truncatedMessageThrowsRelayException() {
     byte[] encoded =
-        sender.encode(new RelayMessage.Snapshot(Collection.BACKENDS, 9, List.of(backend(0))));
+        sender.encode(
+            new RelayMessage.Snapshot(
+                Collection.BACKENDS, new StorePosition(2, 9), List.of(backend(0))));
     for (int length = 0; length < encoded.length; length++) {
       byte[] truncated = java.util.Arrays.copyOf(encoded, length);
       assertThrows(RelayException.class, () -> receiver.decode(truncated));
--- a/edge/src/test/java/org/cowslipstair/edge/relay/StateSyncTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/relay/StateSyncTest.java
@@ -28,6 +28,7 @@
 import org.cowslipstair.model.config.ZoneName;
 import org.cowslipstair.model.traffic.CallerBounds;
 import org.cowslipstair.model.traffic.GatewayEntry;
+import org.cowslipstair.model.traffic.StorePosition;
 import org.cowslipstair.model.traffic.TrafficPlan;
 import org.cowslipstair.port.MonotonicClock;
 import org.cowslipstair.port.ObjectFeed;
@@ -201,7 +202,8 @@
           failedLists.incrementAndGet();
           return Single.error(new StoreException.Unavailable("list", "away"));
         }
-        return Single.fromCallable(() -> new Page(items(collection), false, version()));
+        return Single.fromCallable(
+            () -> new Page(items(collection), false, new StorePosition(0, version())));
       }
 
       @Override
@@ -213,7 +215,9 @@
                     .doOnNext(_ -> failIfUnreachable())
                     .filter(_ -> version() > revision)
                     .firstOrError()
-                    .map(_ -> new Changes(List.of(plan()), Set.of(), version()))
+                    .map(
+                        _ ->
+                            new Changes(List.of(plan()), Set.of(), new StorePosition(0, version())))
                 : Single.never();
         return changes
             .doOnSubscribe(_ -> openWatches.incrementAndGet())
--- a/edge/src/test/java/org/cowslipstair/edge/sync/CollectionFollowerTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/sync/CollectionFollowerTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.cowslipstair.model.traffic.StorePosition;
 import org.cowslipstair.port.ObjectFeed;
 import org.cowslipstair.port.ObjectFeed.Changes;
 import org.cowslipstair.port.ObjectFeed.Collection;
@@ -32,7 +33,9 @@
   }
 
   private void completeList(long revision, boolean hasMore, Item... items) {
-    feed.lists.remove().onSuccess(new Page(List.of(items), hasMore, revision));
+    feed.lists
+        .remove()
+        .onSuccess(new Page(List.of(items), hasMore, new StorePosition(0, revision)));
     scheduler.triggerActions();
   }
 
@@ -53,7 +56,9 @@
   void pausesAfterAChangeBeforeWatchingAgain() {
     follower.start(Freshness.CACHED);
     completeList(7, false);
-    feed.watches.remove().onSuccess(new Changes(List.of(item("a")), Set.of(), 8));
+    feed.watches
+        .remove()
+        .onSuccess(new Changes(List.of(item("a")), Set.of(), new StorePosition(0, 8)));
     advance(GATHER_MS - 1);
     assertThat(feed.watches.size(), is(0));
     advance(1);
@@ -110,8 +115,8 @@
 
   private final class Recorder implements CollectionFollower.Listener {
     @Override
-    public void onListed(Collection collection, List<Item> items, long revision) {
-      events.add("listed %d at %d".formatted(items.size(), revision));
+    public void onListed(Collection collection, List<Item> items, StorePosition position) {
+      events.add("listed %d at %d".formatted(items.size(), position.revision()));
     }
 
     @Override
--- a/edge/src/test/java/org/cowslipstair/edge/sync/StoreProberTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/sync/StoreProberTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import org.cowslipstair.model.traffic.StorePosition;
 import org.cowslipstair.port.ObjectFeed.Page;
 import org.cowslipstair.port.StoreException;
 import org.junit.jupiter.api.Test;
@@ -38,7 +39,7 @@
     prober.scheduleProbe();
     advance(MAX_BACKOFF_MS);
     assertThat(feed.calls, is(List.of("list CACHED")));
-    feed.lists.remove().onSuccess(new Page(List.of(), false, 1));
+    feed.lists.remove().onSuccess(new Page(List.of(), false, new StorePosition(0, 1)));
     scheduler.triggerActions();
     assertThat(responses, is(1));
   }
@@ -68,7 +69,7 @@
       failProbe();
     }
     advance(MAX_BACKOFF_MS * 2);
-    feed.lists.remove().onSuccess(new Page(List.of(), false, 1));
+    feed.lists.remove().onSuccess(new Page(List.of(), false, new StorePosition(0, 1)));
     scheduler.triggerActions();
     prober.resetBackoff();
     prober.scheduleProbe();
--- a/edge/src/test/java/org/cowslipstair/edge/sync/StoreWatchTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/sync/StoreWatchTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import org.cowslipstair.model.traffic.StorePosition;
 import org.cowslipstair.port.ObjectFeed;
 import org.cowslipstair.port.ObjectFeed.Collection;
 import org.cowslipstair.port.ObjectFeed.Page;
@@ -28,7 +29,7 @@
           new Recorder());
 
   private void completeList() {
-    feed.lists.remove().onSuccess(new Page(List.of(), false, 1));
+    feed.lists.remove().onSuccess(new Page(List.of(), false, new StorePosition(0, 1)));
     scheduler.triggerActions();
   }
 
@@ -117,7 +118,7 @@
   private final class Recorder implements StoreWatch.Listener {
     @Override
     public void onListed(
-        Collection collection, List<ObjectFeed.Item> items, long revision, long graceNs) {
+        Collection collection, List<ObjectFeed.Item> items, StorePosition position, long graceNs) {
       lastGraceNs = graceNs;
     }
 
--- a/lib/src/main/java/org/cowslipstair/logic/traffic/TrafficStateCache.java
+++ b/lib/src/main/java/org/cowslipstair/logic/traffic/TrafficStateCache.java
@@ -13,6 +13,7 @@
 import org.cowslipstair.model.config.ZoneName;
 import org.cowslipstair.model.traffic.BackendInstance;
 import org.cowslipstair.model.traffic.GatewayEntry;
+import org.cowslipstair.model.traffic.StorePosition;
 import org.cowslipstair.model.traffic.TrafficPlan;
 import org.cowslipstair.model.traffic.TrafficState;
 import org.cowslipstair.port.ObjectFeed.Changes;
@@ -29,7 +30,7 @@
 public final class TrafficStateCache {
   private final InvariantMonitor monitor;
   private final Map<Collection, Map<String, Item>> items = new HashMap<>();
-  private final Map<Collection, Long> revisions = new HashMap<>();
+  private final Map<Collection, StorePosition> positions = new HashMap<>();
   private final Map<String, RetainedBackend> retainedBackends = new HashMap<>();
   private final List<Fault> faults = new ArrayList<>();
   private @Nullable List<GatewayEntry> gateways;
@@ -49,21 +50,25 @@
   private record RetainedBackend(Item item, long untilNs) {}
 
   /**
-   * Replaces a whole collection with its content at one revision. Does nothing if a newer revision
-   * has been applied.
+   * Replaces a whole collection with its content at one position of the store. Does nothing if a
+   * later revision has been applied.
    *
    * @param graceNs time for which missing backend servers are retained as unconfirmed; 0 to remove
    *     them at once
    * @return whether anything has changed
    */
   public boolean replace(
-      Collection collection, List<Item> newItems, long revision, long nowNs, long graceNs) {
-    long previousRevision = revisions.getOrDefault(collection, 0L);
-    if (revision < previousRevision) {
+      Collection collection,
+      List<Item> newItems,
+      StorePosition position,
+      long nowNs,
+      long graceNs) {
+    long previousRevision = revision(collection);
+    if (position.revision() < previousRevision) {
       return false;
     }
-    boolean hasChanged = revision > previousRevision;
-    revisions.put(collection, revision);
+    boolean hasChanged = position.revision() > previousRevision;
+    positions.put(collection, position);
     Set<String> names = new HashSet<>();
     for (Item item : newItems) {
       names.add(item.name());
@@ -87,10 +92,10 @@
    * @return whether the changes were new
    */
   public boolean apply(Collection collection, Changes changes, long nowNs, long graceNs) {
-    if (changes.revision() <= revisions.getOrDefault(collection, 0L)) {
+    if (changes.position().revision() <= revision(collection)) {
       return false;
     }
-    revisions.put(collection, changes.revision());
+    positions.put(collection, changes.position());
     changes.items().forEach(item -> put(collection, item));
     changes.deleted().forEach(name -> remove(collection, name, nowNs, graceNs));
     return true;
@@ -160,7 +165,12 @@
 
   /** Returns the revision up to which a collection is complete; 0 if it has never been read. */
   public long revision(Collection collection) {
-    return revisions.getOrDefault(collection, 0L);
+    return position(collection).revision();
+  }
+
+  /** Returns the position of the store up to which a collection is complete. */
+  public StorePosition position(Collection collection) {
+    return positions.getOrDefault(collection, StorePosition.none());
   }
 
   /** Returns whether all collections needed to route requests have been read. */
--- a/lib/src/main/java/org/cowslipstair/port/ObjectFeed.java
+++ b/lib/src/main/java/org/cowslipstair/port/ObjectFeed.java
@@ -8,6 +8,7 @@
 import org.cowslipstair.model.config.ZoneName;
 import org.cowslipstair.model.traffic.BackendInstance;
 import org.cowslipstair.model.traffic.GatewayEntry;
+import org.cowslipstair.model.traffic.StorePosition;
 import org.cowslipstair.model.traffic.TrafficPlan;
 
 /**
@@ -86,9 +87,9 @@
    * A page of a collection.
    *
    * @param hasMore whether there is another page
-   * @param revision revision of the store that the page reflects
+   * @param position position of the store that the page reflects
    */
-  record Page(List<Item> items, boolean hasMore, long revision) {
+  record Page(List<Item> items, boolean hasMore, StorePosition position) {
     /** Copies the list. */
     public Page {
       items = List.copyOf(items);
@@ -100,9 +101,9 @@
    *
    * @param items objects created or replaced
    * @param deleted names of deleted objects
-   * @param revision revision of the store up to which the changes are complete
+   * @param position position of the store up to which the changes are complete
    */
-  record Changes(List<Item> items, Set<String> deleted, long revision) {
+  record Changes(List<Item> items, Set<String> deleted, StorePosition position) {
     /** Copies the collections. */
     public Changes {
       items = List.copyOf(items);
--- a/lib/src/test/java/org/cowslipstair/logic/traffic/TrafficStateCacheTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/traffic/TrafficStateCacheTest.java
@@ -14,6 +14,7 @@
 import org.cowslipstair.model.config.ZoneName;
 import org.cowslipstair.model.traffic.BackendInstance;
 import org.cowslipstair.model.traffic.CallerBounds;
+import org.cowslipstair.model.traffic.StorePosition;
 import org.cowslipstair.model.traffic.TrafficPlan;
 import org.cowslipstair.port.ObjectFeed.Changes;
 import org.cowslipstair.port.ObjectFeed.Collection;
@@ -27,6 +28,10 @@
   private static final ZoneName ZONE = new ZoneName("z");
   private final TrafficStateCache stateCache = new TrafficStateCache(InvariantMonitor.failing());
 
+  private static StorePosition at(long revision) {
+    return new StorePosition(0, revision);
+  }
+
   private static Item plan(long revision, long version) {
     TrafficPlan plan = new TrafficPlan(version, CallerBounds.defaults(), List.of(), List.of());
     return new Item("main", revision, new Content.Plan(plan));
@@ -56,7 +61,7 @@
 
   @BeforeEach
   void loadConfiguration() {
-    stateCache.replace(Collection.CONFIGURATION, List.of(plan(1, 5)), 1, 0, 0);
+    stateCache.replace(Collection.CONFIGURATION, List.of(plan(1, 5)), at(1), 0, 0);
   }
 
   private int eligibleCount(long nowNs) {
@@ -69,18 +74,18 @@
 
   @Test
   void olderConfigurationNeverReplacesANewerOne() {
-    stateCache.replace(Collection.CONFIGURATION, List.of(plan(9, 8)), 9, 0, 0);
-    stateCache.replace(Collection.CONFIGURATION, List.of(plan(3, 6)), 3, 0, 0);
+    stateCache.replace(Collection.CONFIGURATION, List.of(plan(9, 8)), at(9), 0, 0);
+    stateCache.replace(Collection.CONFIGURATION, List.of(plan(3, 6)), at(3), 0, 0);
     assertThat(version(), is(8L));
     stateCache.apply(
-        Collection.CONFIGURATION, new Changes(List.of(plan(10, 7)), Set.of(), 10), 0, 0);
+        Collection.CONFIGURATION, new Changes(List.of(plan(10, 7)), Set.of(), at(10)), 0, 0);
     assertThat(version(), is(8L));
   }
 
   @Test
   void outdatedChangesAreIgnored() {
-    stateCache.replace(Collection.BACKENDS, List.of(backend("b", 8, false)), 10, 0, 0);
-    stateCache.apply(Collection.BACKENDS, new Changes(List.of(), Set.of("b"), 7), 0, 0);
+    stateCache.replace(Collection.BACKENDS, List.of(backend("b", 8, false)), at(10), 0, 0);
+    stateCache.apply(Collection.BACKENDS, new Changes(List.of(), Set.of("b"), at(7)), 0, 0);
     assertThat(eligibleCount(0), is(1));
   }
 
@@ -88,38 +93,38 @@
   @Test
   void changesThatArriveTwiceAreNewOnce() {
     List<Item> items = List.of(backend("b", 2, false));
-    assertThat(stateCache.replace(Collection.BACKENDS, items, 2, 0, 0), is(true));
-    assertThat(stateCache.replace(Collection.BACKENDS, items, 2, 0, 0), is(false));
-    assertThat(stateCache.replace(Collection.BACKENDS, List.of(), 1, 0, 0), is(false));
-    Changes changes = new Changes(List.of(backend("b", 3, true)), Set.of(), 3);
+    assertThat(stateCache.replace(Collection.BACKENDS, items, at(2), 0, 0), is(true));
+    assertThat(stateCache.replace(Collection.BACKENDS, items, at(2), 0, 0), is(false));
+    assertThat(stateCache.replace(Collection.BACKENDS, List.of(), at(1), 0, 0), is(false));
+    Changes changes = new Changes(List.of(backend("b", 3, true)), Set.of(), at(3));
     assertThat(stateCache.apply(Collection.BACKENDS, changes, 0, 0), is(true));
     assertThat(stateCache.apply(Collection.BACKENDS, changes, 0, 0), is(false));
-    assertThat(stateCache.replace(Collection.BACKENDS, List.of(), 3, 0, 0), is(true));
+    assertThat(stateCache.replace(Collection.BACKENDS, List.of(), at(3), 0, 0), is(true));
     assertThat(eligibleCount(0), is(0));
   }
 
   @Test
   void leavingBackendIsNotEligible() {
-    stateCache.replace(Collection.BACKENDS, List.of(backend("b", 2, false)), 2, 0, 0);
+    stateCache.replace(Collection.BACKENDS, List.of(backend("b", 2, false)), at(2), 0, 0);
     stateCache.apply(
-        Collection.BACKENDS, new Changes(List.of(backend("b", 3, true)), Set.of(), 3), 0, 0);
+        Collection.BACKENDS, new Changes(List.of(backend("b", 3, true)), Set.of(), at(3)), 0, 0);
     assertThat(eligibleCount(0), is(0));
   }
 
   @Test
   void backendInAZoneOutIsNotEligibleUntilTheZoneReturns() {
-    stateCache.replace(Collection.BACKENDS, List.of(backend("b", 2, false)), 2, 0, 0);
+    stateCache.replace(Collection.BACKENDS, List.of(backend("b", 2, false)), at(2), 0, 0);
     Item out = new Item("z", 3, new Content.ZoneOut(ZONE));
-    stateCache.apply(Collection.ZONES_OUT, new Changes(List.of(out), Set.of(), 3), 0, 0);
+    stateCache.apply(Collection.ZONES_OUT, new Changes(List.of(out), Set.of(), at(3)), 0, 0);
     assertThat(eligibleCount(0), is(0));
-    stateCache.apply(Collection.ZONES_OUT, new Changes(List.of(), Set.of("z"), 4), 0, 0);
+    stateCache.apply(Collection.ZONES_OUT, new Changes(List.of(), Set.of("z"), at(4)), 0, 0);
     assertThat(eligibleCount(0), is(1));
   }
 
   @Test
   void backendExpiredDuringAnOutageIsRetainedForTheGrace() {
-    stateCache.replace(Collection.BACKENDS, List.of(backend("b", 2, false)), 2, 0, 0);
-    stateCache.replace(Collection.BACKENDS, List.of(), 5, 0, OutageTracker.RENEWAL_GRACE_NS);
+    stateCache.replace(Collection.BACKENDS, List.of(backend("b", 2, false)), at(2), 0, 0);
+    stateCache.replace(Collection.BACKENDS, List.of(), at(5), 0, OutageTracker.RENEWAL_GRACE_NS);
     assertThat(eligibleCount(OutageTracker.RENEWAL_GRACE_NS - 1), is(1));
     assertThat(stateCache.state(0).isUnconfirmed(new BackendName("b")), is(true));
     assertThat(eligibleCount(OutageTracker.RENEWAL_GRACE_NS), is(0));
@@ -127,16 +132,16 @@
 
   @Test
   void deletedBackendIsRemovedAtOnce() {
-    stateCache.replace(Collection.BACKENDS, List.of(backend("b", 2, false)), 2, 0, 0);
-    stateCache.apply(Collection.BACKENDS, new Changes(List.of(), Set.of("b"), 3), 0, 0);
+    stateCache.replace(Collection.BACKENDS, List.of(backend("b", 2, false)), at(2), 0, 0);
+    stateCache.apply(Collection.BACKENDS, new Changes(List.of(), Set.of("b"), at(3)), 0, 0);
     assertThat(eligibleCount(0), is(0));
   }
 
   @Test
   void unreadableBackendIsNotEligibleAndIsReportedOnce() {
-    stateCache.replace(Collection.BACKENDS, List.of(backend("b", 2, false)), 2, 0, 0);
+    stateCache.replace(Collection.BACKENDS, List.of(backend("b", 2, false)), at(2), 0, 0);
     Item broken = new Item("b", 3, new Content.Unreadable("field \"slots\" is x"));
-    stateCache.apply(Collection.BACKENDS, new Changes(List.of(broken), Set.of(), 3), 0, 0);
+    stateCache.apply(Collection.BACKENDS, new Changes(List.of(broken), Set.of(), at(3)), 0, 0);
     assertThat(eligibleCount(0), is(0));
     assertThat(stateCache.drainFaults(), hasSize(1));
     assertThat(stateCache.drainFaults(), empty());
@@ -145,27 +150,27 @@
   @Test
   void unreadableConfigurationLeavesThePreviousOneInForce() {
     Item broken = new Item("main", 3, new Content.Unreadable("field \"kind\" is x"));
-    stateCache.apply(Collection.CONFIGURATION, new Changes(List.of(broken), Set.of(), 3), 0, 0);
+    stateCache.apply(Collection.CONFIGURATION, new Changes(List.of(broken), Set.of(), at(3)), 0, 0);
     assertThat(version(), is(5L));
   }
 
   @Test
   void replayedReportOfALeavingBackendIsIgnored() {
-    stateCache.replace(Collection.BACKENDS, List.of(backend("b", 2, true, 50, 9)), 2, 0, 0);
+    stateCache.replace(Collection.BACKENDS, List.of(backend("b", 2, true, 50, 9)), at(2), 0, 0);
     Item replayed = backend("b", 3, false, 50, 8);
-    stateCache.apply(Collection.BACKENDS, new Changes(List.of(replayed), Set.of(), 3), 0, 0);
+    stateCache.apply(Collection.BACKENDS, new Changes(List.of(replayed), Set.of(), at(3)), 0, 0);
     assertThat(eligibleCount(0), is(0));
     Item earlierIncarnation = backend("b", 4, false, 40, 99);
     stateCache.apply(
-        Collection.BACKENDS, new Changes(List.of(earlierIncarnation), Set.of(), 4), 0, 0);
+        Collection.BACKENDS, new Changes(List.of(earlierIncarnation), Set.of(), at(4)), 0, 0);
     assertThat(eligibleCount(0), is(0));
   }
 
   @Test
   void restartedBackendOfTheSameNameIsEligible() {
-    stateCache.replace(Collection.BACKENDS, List.of(backend("b", 2, true, 50, 9)), 2, 0, 0);
+    stateCache.replace(Collection.BACKENDS, List.of(backend("b", 2, true, 50, 9)), at(2), 0, 0);
     Item restarted = backend("b", 3, false, 60, 1);
-    stateCache.apply(Collection.BACKENDS, new Changes(List.of(restarted), Set.of(), 3), 0, 0);
+    stateCache.apply(Collection.BACKENDS, new Changes(List.of(restarted), Set.of(), at(3)), 0, 0);
     assertThat(eligibleCount(0), is(1));
   }
 }
