Tests that a change is in force after the store's return from a copy; they fail

TrafficStateCacheTest: version 9 instead of 11; StateSyncTest, three gateways over loopback: version 6 instead of 7, after a minute.

--- a/edge/src/test/java/org/cowslipstair/edge/relay/StateSyncTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/relay/StateSyncTest.java
@@ -34,6 +34,7 @@
 import org.cowslipstair.port.ObjectFeed;
 import org.cowslipstair.port.StoreException;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Runs several gateways of one zone over loopback, each on its own event loop. */
@@ -44,6 +45,8 @@
   private final List<Node> nodes = new ArrayList<>();
   private volatile boolean storeUnreachable;
   private volatile long version = 1;
+  private volatile long epoch = 1;
+  private volatile long lostRevisions;
 
   @AfterEach
   void stopNodes() {
@@ -103,6 +106,27 @@
     await(() -> supplied.version() == 4 && supplied.openWatches.get() == 0);
   }
 
+  /**
+   * Incident 5: a change that is confirmed after the store has come back from a copy is not in
+   * force.
+   */
+  @Test
+  @Tag("known-red")
+  void changeAfterTheStoresReturnFromACopyReachesEveryGateway() throws InterruptedException {
+    Node supplied = startFleet();
+    version = 6;
+    await(() -> supplied.version() == 6);
+    storeUnreachable = true;
+    await(() -> supplied.failedLists.get() > 0);
+    lostRevisions = 4;
+    epoch = 2;
+    storeUnreachable = false;
+    version = 7;
+    await(() -> nodes.stream().allMatch(node -> node.version() == 7));
+    version = 8;
+    await(() -> nodes.stream().allMatch(node -> node.version() == 8));
+  }
+
   @Test
   void newGatewayGetsItsStateFromASeedWhileTheStoreIsUnreachable() throws InterruptedException {
     Node first = startNode("g-1", List.of());
@@ -189,21 +213,24 @@
       private Item plan() {
         TrafficPlan plan =
             new TrafficPlan(version(), CallerBounds.defaults(), List.of(), List.of());
-        return new Item("main", version(), new Content.Plan(plan));
+        return new Item("main", position().revision(), new Content.Plan(plan));
       }
 
       private long version() {
         return StateSyncTest.this.version;
       }
 
+      private StorePosition position() {
+        return new StorePosition(epoch, version() - lostRevisions);
+      }
+
       @Override
       public Single<Page> list(Collection collection, Optional<String> after, Freshness freshness) {
         if (storeUnreachable) {
           failedLists.incrementAndGet();
           return Single.error(new StoreException.Unavailable("list", "away"));
         }
-        return Single.fromCallable(
-            () -> new Page(items(collection), false, new StorePosition(0, version())));
+        return Single.fromCallable(() -> new Page(items(collection), false, position()));
       }
 
       @Override
@@ -213,11 +240,9 @@
                 ? Single.timer(5, TimeUnit.MILLISECONDS)
                     .repeat()
                     .doOnNext(_ -> failIfUnreachable())
-                    .filter(_ -> version() > revision)
+                    .filter(_ -> position().revision() > revision)
                     .firstOrError()
-                    .map(
-                        _ ->
-                            new Changes(List.of(plan()), Set.of(), new StorePosition(0, version())))
+                    .map(_ -> new Changes(List.of(plan()), Set.of(), position()))
                 : Single.never();
         return changes
             .doOnSubscribe(_ -> openWatches.incrementAndGet())
--- a/lib/src/test/java/org/cowslipstair/logic/traffic/TrafficStateCacheTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/traffic/TrafficStateCacheTest.java
@@ -21,6 +21,7 @@
 import org.cowslipstair.port.ObjectFeed.Content;
 import org.cowslipstair.port.ObjectFeed.Item;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 final class TrafficStateCacheTest {
@@ -82,6 +83,22 @@
     assertThat(version(), is(8L));
   }
 
+  /**
+   * Incident 5: revisions go back and are given out again when the store comes back from a copy.
+   */
+  @Test
+  @Tag("known-red")
+  void changeAfterTheStoresReturnFromACopyIsInForce() {
+    stateCache.replace(Collection.CONFIGURATION, List.of(plan(55, 9)), at(55), 0, 0);
+    StorePosition returned = new StorePosition(1, 54);
+    stateCache.replace(Collection.CONFIGURATION, List.of(plan(50, 7)), returned, 0, 0);
+    assertThat(version(), is(9L));
+    StorePosition changed = new StorePosition(1, 55);
+    stateCache.apply(
+        Collection.CONFIGURATION, new Changes(List.of(plan(55, 11)), Set.of(), changed), 0, 0);
+    assertThat(version(), is(11L));
+  }
+
   @Test
   void outdatedChangesAreIgnored() {
     stateCache.replace(Collection.BACKENDS, List.of(backend("b", 8, false)), at(10), 0, 0);
