Do not use a backend server again because a copy of the store still has it

A server that had left and whose entry was removed is in a copy of the store from before, ready, and was used again until the store noticed its silence, seconds later. Removed servers are remembered for two minutes with their last report; an entry of the same process that is no newer names no server to use. One that lives and writes again is back at once. Ruled out: comparing revisions, which the return gives out again.

TrafficStateCacheTest.removedBackendIsNotInUseAgainBecauseACopyStillHasIt failed before (1 usable server, 0 expected) and passes.

--- a/lib/src/main/java/org/cowslipstair/logic/traffic/TrafficStateCache.java
+++ b/lib/src/main/java/org/cowslipstair/logic/traffic/TrafficStateCache.java
@@ -29,10 +29,17 @@
  * from a copy; versions and reports do not. Not thread-safe.
  */
 public final class TrafficStateCache {
+  /**
+   * Time for which a removed backend server is remembered, so that a copy of the store does not
+   * bring it back. The store itself removes it from the copy after a few missed reports.
+   */
+  private static final long DEPARTURE_MEMORY_NS = 120_000_000_000L;
+
   private final InvariantMonitor monitor;
   private final Map<Collection, Map<String, Item>> items = new HashMap<>();
   private final Map<Collection, StorePosition> positions = new HashMap<>();
   private final Map<String, RetainedBackend> retainedBackends = new HashMap<>();
+  private final Map<String, Departure> departures = new HashMap<>();
   private final List<Fault> faults = new ArrayList<>();
   private @Nullable List<GatewayEntry> gateways;
   private Optional<TrafficPlan> plan = Optional.empty();
@@ -50,6 +57,8 @@
 
   private record RetainedBackend(Item item, long untilNs) {}
 
+  private record Departure(BackendInstance lastReport, long forgetAtNs) {}
+
   /**
    * Replaces a whole collection with its content at one position of the store. Only a newer
    * configuration is taken if a later position has been applied.
@@ -132,6 +141,9 @@
   private boolean put(Collection collection, Item item) {
     Map<String, Item> itemsByName = itemsOf(collection);
     Item previous = itemsByName.get(item.name());
+    if (previous == null && hasDeparted(item)) {
+      return false;
+    }
     boolean isReplayed = previous != null && isOlder(item.content(), previous.content());
     boolean isNews = previous != null && isOlder(previous.content(), item.content());
     if (previous != null && previous.revision() >= item.revision() && !isNews) {
@@ -190,11 +202,25 @@
     }
     forgetGatewaysIf(collection);
     Item removed = itemsOf(collection).remove(name);
-    if (removed != null && graceNs > 0 && collection == Collection.BACKENDS) {
-      retainedBackends.put(name, new RetainedBackend(removed, nowNs + graceNs));
+    if (removed != null && removed.content() instanceof Content.Backend(var lastReport)) {
+      departures.values().removeIf(departure -> nowNs - departure.forgetAtNs >= 0);
+      departures.put(name, new Departure(lastReport, nowNs + DEPARTURE_MEMORY_NS));
+      if (graceNs > 0) {
+        retainedBackends.put(name, new RetainedBackend(removed, nowNs + graceNs));
+      }
     }
   }
 
+  /** Returns whether an entry is no newer than the last report of a process that was removed. */
+  private boolean hasDeparted(Item item) {
+    Departure departure = departures.get(item.name());
+    return departure != null
+        && item.content() instanceof Content.Backend(BackendInstance reported)
+        && reported.startedUnixMs() != 0
+        && reported.isSameProcess(departure.lastReport)
+        && reported.sequence() <= departure.lastReport.sequence();
+  }
+
   private Map<String, Item> itemsOf(Collection collection) {
     return items.computeIfAbsent(collection, _ -> new HashMap<>());
   }
--- a/lib/src/test/java/org/cowslipstair/logic/traffic/TrafficStateCacheTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/traffic/TrafficStateCacheTest.java
@@ -136,6 +136,22 @@
     assertThat(eligibleCount(0), is(0));
   }
 
+  /** A server that had left before the store came back from a copy is in use again. */
+  @Test
+  void removedBackendIsNotInUseAgainBecauseACopyStillHasIt() {
+    stateCache.replace(Collection.BACKENDS, List.of(backend("b", 9, true, 50, 9)), at(9), 0, 0);
+    stateCache.apply(Collection.BACKENDS, new Changes(List.of(), Set.of("b"), at(12)), 0, 0);
+    StorePosition returned = new StorePosition(1, 4);
+    stateCache.replace(Collection.BACKENDS, List.of(backend("b", 3, false, 50, 6)), returned, 0, 0);
+    assertThat(eligibleCount(0), is(0));
+    stateCache.apply(
+        Collection.BACKENDS,
+        new Changes(List.of(backend("b", 5, false, 50, 10)), Set.of(), new StorePosition(1, 5)),
+        0,
+        0);
+    assertThat(eligibleCount(0), is(1));
+  }
+
   @Test
   void outdatedChangesAreIgnored() {
     stateCache.replace(Collection.BACKENDS, List.of(backend("b", 8, false)), at(10), 0, 0);
