Keep a zone out and known gateways while a copy of the store lacks them

A zone that was taken out in the seconds that a copy of the store has lost got work again at the store's return, until the operator wrote it again; gateways that had announced themselves in these seconds vanished from the fleet, so that shares of budgets and ranks jumped. Both are now kept for ten seconds after a return, or until they are written or deleted again. The answer of an earlier epoch that comes late still brings a newer configuration, and nothing else.

TrafficStateCacheTest.zoneOutThatACopyLacksStaysOutUntilItCanBeWrittenAgain failed before (1 usable server, 0 expected) and passes.

--- a/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
@@ -10,6 +10,7 @@
 import org.cowslipstair.edge.FrontSettings;
 import org.cowslipstair.edge.GatewayComponents;
 import org.cowslipstair.edge.sync.StoreWatch;
+import org.cowslipstair.logic.traffic.OutageTracker;
 import org.cowslipstair.logic.traffic.TrafficStateCache;
 import org.cowslipstair.model.config.HostPort;
 import org.cowslipstair.model.traffic.GatewayEntry;
@@ -358,6 +359,8 @@
       Collection collection, List<ObjectFeed.Item> items, StorePosition position, long graceNs) {
     StorePosition previous = stateCache.position(collection);
     if (position.epoch() > previous.epoch() && previous.revision() > 0) {
+      scheduleRefresh(OutageTracker.RENEWAL_GRACE_NS);
+      scheduleRefresh(TrafficStateCache.REWRITE_GRACE_NS);
       LOG.warnf(
           "store: returned from a copy: %s at revision %s after %s",
           collection, position, previous);
@@ -373,8 +376,7 @@
   }
 
   /**
-   * Schedules a refresh for the end of the grace, when backend servers that are still missing are
-   * dropped.
+   * Schedules a refresh for the end of the grace, when objects that are still missing are dropped.
    */
   private void scheduleRefresh(long graceNs) {
     if (graceNs > 0) {
--- a/lib/src/main/java/org/cowslipstair/logic/traffic/TrafficStateCache.java
+++ b/lib/src/main/java/org/cowslipstair/logic/traffic/TrafficStateCache.java
@@ -29,6 +29,12 @@
  * from a copy; versions and reports do not. Not thread-safe.
  */
 public final class TrafficStateCache {
+  /**
+   * Time for which zones out of service and gateways that a copy of the store lacks are retained:
+   * whoever wrote them writes them again.
+   */
+  public static final long REWRITE_GRACE_NS = 10_000_000_000L;
+
   /**
    * Time for which a removed backend server is remembered, so that a copy of the store does not
    * bring it back. The store itself removes it from the copy after a few missed reports.
@@ -38,7 +44,7 @@
   private final InvariantMonitor monitor;
   private final Map<Collection, Map<String, Item>> items = new HashMap<>();
   private final Map<Collection, StorePosition> positions = new HashMap<>();
-  private final Map<String, RetainedBackend> retainedBackends = new HashMap<>();
+  private final Map<Collection, Map<String, RetainedItem>> retained = new HashMap<>();
   private final Map<String, Departure> departures = new HashMap<>();
   private final List<Fault> faults = new ArrayList<>();
   private @Nullable List<GatewayEntry> gateways;
@@ -49,13 +55,14 @@
     this.monitor = monitor;
     for (Collection collection : Collection.values()) {
       items.put(collection, new HashMap<>());
+      retained.put(collection, new HashMap<>());
     }
   }
 
   /** An object that could not be decoded. */
   public record Fault(Collection collection, String name, String reason) {}
 
-  private record RetainedBackend(Item item, long untilNs) {}
+  private record RetainedItem(Item item, long untilNs) {}
 
   private record Departure(BackendInstance lastReport, long forgetAtNs) {}
 
@@ -77,9 +84,12 @@
     if (position.compareTo(previous) < 0) {
       return adoptNewerPlan(newItems);
     }
-    if (hasReturnedFromCopy(previous, position)) {
+    boolean hasReturned = hasReturnedFromCopy(previous, position);
+    if (hasReturned) {
       forgetRevisions(collection);
     }
+    long missingGraceNs =
+        Math.max(outageGraceNs(collection, graceNs), hasReturned ? returnGraceNs(collection) : 0);
     boolean hasChanged = position.compareTo(previous) > 0;
     positions.put(collection, position);
     Set<String> names = new HashSet<>();
@@ -89,7 +99,7 @@
     }
     for (String name : List.copyOf(itemsOf(collection).keySet())) {
       if (!names.contains(name)) {
-        remove(collection, name, nowNs, graceNs);
+        remove(collection, name, nowNs, missingGraceNs);
         hasChanged = true;
       }
     }
@@ -100,6 +110,19 @@
     return previous.revision() > 0 && position.epoch() > previous.epoch();
   }
 
+  /** Only backend servers have entries that expire while the store is away. */
+  private static long outageGraceNs(Collection collection, long graceNs) {
+    return collection == Collection.BACKENDS ? graceNs : 0;
+  }
+
+  private static long returnGraceNs(Collection collection) {
+    return switch (collection) {
+      case BACKENDS -> OutageTracker.RENEWAL_GRACE_NS;
+      case ZONES_OUT, GATEWAYS -> REWRITE_GRACE_NS;
+      case CONFIGURATION -> 0;
+    };
+  }
+
   /** The revisions of the returned store do not compare with those known before. */
   private void forgetRevisions(Collection collection) {
     itemsOf(collection).replaceAll((_, item) -> withRevision(item, 0));
@@ -117,9 +140,9 @@
   }
 
   /**
-   * Applies changes up to a position. Does nothing if that position or a later one has been
-   * applied, or if the store has come back from a copy since, which takes a whole collection to
-   * notice.
+   * Applies changes up to a position. Only a newer configuration is taken if that position or a
+   * later one has been applied, or if the store has come back from a copy and the whole collection
+   * has not been read since.
    *
    * @param graceNs time for which deleted backend servers are retained as unconfirmed; 0 to remove
    *     them at once
@@ -129,11 +152,12 @@
     StorePosition previous = position(collection);
     if (changes.position().compareTo(previous) <= 0
         || hasReturnedFromCopy(previous, changes.position())) {
-      return false;
+      return adoptNewerPlan(changes.items());
     }
     positions.put(collection, changes.position());
     changes.items().forEach(item -> put(collection, item));
-    changes.deleted().forEach(name -> remove(collection, name, nowNs, graceNs));
+    long deletedGraceNs = outageGraceNs(collection, graceNs);
+    changes.deleted().forEach(name -> remove(collection, name, nowNs, deletedGraceNs));
     return true;
   }
 
@@ -157,7 +181,7 @@
     }
     forgetGatewaysIf(collection);
     itemsByName.put(item.name(), isReplayed ? withRevision(previous, item.revision()) : item);
-    retainedBackends.remove(item.name());
+    retainedOf(collection).remove(item.name());
     if (item.content() instanceof Content.Plan(TrafficPlan newPlan)) {
       updatePlan(newPlan);
     }
@@ -202,12 +226,15 @@
     }
     forgetGatewaysIf(collection);
     Item removed = itemsOf(collection).remove(name);
+    if (removed == null) {
+      retainedOf(collection).remove(name);
+    }
     if (removed != null && removed.content() instanceof Content.Backend(var lastReport)) {
       departures.values().removeIf(departure -> nowNs - departure.forgetAtNs >= 0);
       departures.put(name, new Departure(lastReport, nowNs + DEPARTURE_MEMORY_NS));
-      if (graceNs > 0) {
-        retainedBackends.put(name, new RetainedBackend(removed, nowNs + graceNs));
-      }
+    }
+    if (removed != null && graceNs > 0) {
+      retainedOf(collection).put(name, new RetainedItem(removed, nowNs + graceNs));
     }
   }
 
@@ -221,6 +248,10 @@
         && reported.sequence() <= departure.lastReport.sequence();
   }
 
+  private Map<String, RetainedItem> retainedOf(Collection collection) {
+    return retained.computeIfAbsent(collection, _ -> new HashMap<>());
+  }
+
   private Map<String, Item> itemsOf(Collection collection) {
     return items.computeIfAbsent(collection, _ -> new HashMap<>());
   }
@@ -242,12 +273,15 @@
         && revision(Collection.ZONES_OUT) > 0;
   }
 
-  /** Returns the announced gateways; the same list until one of them changes. */
+  /**
+   * Returns the announced gateways, also those that a copy of the store lacks for the moment; the
+   * same list until one of them changes.
+   */
   public List<GatewayEntry> gateways() {
     List<GatewayEntry> current = gateways;
     if (current == null) {
       List<GatewayEntry> announced = new ArrayList<>();
-      for (Item item : itemsOf(Collection.GATEWAYS).values()) {
+      for (Item item : itemsAndRetained(Collection.GATEWAYS)) {
         if (item.content() instanceof Content.Gateway(GatewayEntry gateway)) {
           announced.add(gateway);
         }
@@ -258,6 +292,21 @@
     return current;
   }
 
+  private List<Item> itemsAndRetained(Collection collection) {
+    List<Item> all = new ArrayList<>(itemsOf(collection).values());
+    retainedOf(collection).values().forEach(entry -> all.add(entry.item));
+    return all;
+  }
+
+  private void expireRetained(long nowNs) {
+    retained.forEach(
+        (collection, entries) -> {
+          if (entries.values().removeIf(entry -> nowNs >= entry.untilNs)) {
+            forgetGatewaysIf(collection);
+          }
+        });
+  }
+
   /** Returns the objects of a collection. */
   public List<Item> items(Collection collection) {
     return List.copyOf(itemsOf(collection).values());
@@ -283,16 +332,16 @@
         backends.add(backend);
       }
     }
-    retainedBackends.values().removeIf(entry -> nowNs >= entry.untilNs);
+    expireRetained(nowNs);
     Set<BackendName> unconfirmed = new HashSet<>();
-    for (RetainedBackend entry : retainedBackends.values()) {
+    for (RetainedItem entry : retainedOf(Collection.BACKENDS).values()) {
       if (entry.item.content() instanceof Content.Backend(BackendInstance backend)) {
         backends.add(backend);
         unconfirmed.add(backend.name());
       }
     }
     Set<ZoneName> zonesOut = new HashSet<>();
-    for (Item item : itemsOf(Collection.ZONES_OUT).values()) {
+    for (Item item : itemsAndRetained(Collection.ZONES_OUT)) {
       if (item.content() instanceof Content.ZoneOut(ZoneName zone)) {
         zonesOut.add(zone);
       }
--- a/lib/src/test/java/org/cowslipstair/logic/traffic/TrafficStateCacheTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/traffic/TrafficStateCacheTest.java
@@ -152,6 +152,42 @@
     assertThat(eligibleCount(0), is(1));
   }
 
+  /** A zone that an operator took out gets work again because a copy of the store lacks it. */
+  @Test
+  void zoneOutThatACopyLacksStaysOutUntilItCanBeWrittenAgain() {
+    Item out = new Item("z", 8, new Content.ZoneOut(ZONE));
+    stateCache.replace(Collection.BACKENDS, List.of(backend("b", 2, false)), at(8), 0, 0);
+    stateCache.replace(Collection.ZONES_OUT, List.of(out), at(8), 0, 0);
+    stateCache.replace(Collection.ZONES_OUT, List.of(), new StorePosition(1, 4), 0, 0);
+    assertThat(eligibleCount(0), is(0));
+    Item outAgain = new Item("z", 6, new Content.ZoneOut(ZONE));
+    Changes rewritten = new Changes(List.of(outAgain), Set.of(), new StorePosition(1, 6));
+    stateCache.apply(Collection.ZONES_OUT, rewritten, 0, 0);
+    assertThat(eligibleCount(TrafficStateCache.REWRITE_GRACE_NS), is(0));
+    Changes removed = new Changes(List.of(), Set.of("z"), new StorePosition(1, 7));
+    stateCache.apply(Collection.ZONES_OUT, removed, 0, 0);
+    assertThat(eligibleCount(0), is(1));
+  }
+
+  @Test
+  void zoneOutThatNobodyWritesAgainReturnsAfterTheGrace() {
+    Item out = new Item("z", 8, new Content.ZoneOut(ZONE));
+    stateCache.replace(Collection.BACKENDS, List.of(backend("b", 2, false)), at(8), 0, 0);
+    stateCache.replace(Collection.ZONES_OUT, List.of(out), at(8), 0, 0);
+    stateCache.replace(Collection.ZONES_OUT, List.of(), new StorePosition(1, 4), 0, 0);
+    assertThat(eligibleCount(TrafficStateCache.REWRITE_GRACE_NS), is(1));
+  }
+
+  @Test
+  void zoneThatReturnsDuringTheGraceAfterAnOutageIsUsedAtOnce() {
+    Item out = new Item("z", 3, new Content.ZoneOut(ZONE));
+    stateCache.replace(Collection.BACKENDS, List.of(backend("b", 2, false)), at(3), 0, 0);
+    stateCache.replace(Collection.ZONES_OUT, List.of(out), at(3), 0, 0);
+    long graceNs = OutageTracker.RENEWAL_GRACE_NS;
+    stateCache.apply(Collection.ZONES_OUT, new Changes(List.of(), Set.of("z"), at(4)), 0, graceNs);
+    assertThat(eligibleCount(0), is(1));
+  }
+
   @Test
   void outdatedChangesAreIgnored() {
     stateCache.replace(Collection.BACKENDS, List.of(backend("b", 8, false)), at(10), 0, 0);
