Announce a gateway again when a copy of the store lacks it

A gateway announced itself once in its life. One that did so in the seconds that a copy has lost stayed unknown to every gateway that started afterwards, for good: these took larger shares of budgets than theirs, and asked others for permits. After a return the watchers list the gateways twice, not from a cache, and pass the list on; each gateway that is missing in it announces itself.

StateSyncTest.gatewaysThatACopyLacksAnnounceThemselvesAgain failed before (not announced within a minute) and passes.

--- a/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
@@ -46,9 +46,6 @@
    */
   private static final long PROOF_GRACE_MS = 2_200;
 
-  /** Delays between listings of the gateways; the last one is repeated. */
-  private static final long[] FLEET_LISTING_DELAYS_MS = {1_500, 3_000, 6_000, 15_000};
-
   /**
    * Time from the start after which a gateway without a state lists the collections from the
    * store's cache.
@@ -68,7 +65,6 @@
   /** Same for gateways that the watchers will supply once they regain contact. */
   private static final long MAX_OTHERS_BACKOFF_MS = 1_600;
 
-  private static final long ANNOUNCE_RETRY_MS = 2_000;
   private static final long NS_PER_MS = 1_000_000L;
 
   private final FrontSettings settings;
@@ -79,15 +75,13 @@
   private final RelayServer server;
   private final RelaySubscriptions subscriptions;
   private final StoreWatch storeWatch;
+  private final GatewayDirectory directory;
   private final long startedNs;
   private GatewayEntry self;
   private long fleetUnknownUntilNs;
   private long lastContactNs;
   private boolean hasHadContact;
   private boolean isRenewingContact;
-  private int fleetListings;
-  private boolean hasListedFleet;
-  private boolean hasAnnounced;
 
   /**
    * Creates a synchronizer that is not started.
@@ -114,6 +108,7 @@
             components.random(),
             settings.limits().changeBatchDelayMs(),
             this);
+    this.directory = new GatewayDirectory(components, scheduler, new DirectoryListener());
     this.startedNs = components.clock().nowNs();
     this.fleetUnknownUntilNs = startedNs;
     this.self = new GatewayEntry(settings.name(), settings.zone(), settings.relay().address());
@@ -135,7 +130,7 @@
     loop.execute(
         () -> {
           subscriptions.openSeeds();
-          listFleet();
+          directory.start(self);
           checkPeriodically();
           if (!settings.relay().firstStart()) {
             schedule(this::listCached, CACHED_LIST_DELAY_MS);
@@ -158,56 +153,6 @@
     return server.subscribers();
   }
 
-  private void announce() {
-    components
-        .feed()
-        .announce(self)
-        .observeOn(scheduler)
-        .subscribe(
-            () -> {},
-            cause -> {
-              LOG.warnf("fleet: failed to announce this gateway: %s", cause.getMessage());
-              schedule(this::announce, ANNOUNCE_RETRY_MS);
-            });
-  }
-
-  private void listFleet() {
-    long delayMs =
-        FLEET_LISTING_DELAYS_MS[Math.min(fleetListings, FLEET_LISTING_DELAYS_MS.length - 1)];
-    fleetListings++;
-    boolean isNeeded =
-        fleetListings <= 2 || storeWatch.isWatching() || stateCache.gateways().isEmpty();
-    schedule(this::listFleet, delayMs + components.random().nextLong(delayMs / 4));
-    if (!isNeeded) {
-      return;
-    }
-    components
-        .feed()
-        .list(Collection.GATEWAYS, Optional.empty(), Freshness.CACHED)
-        .observeOn(scheduler)
-        .subscribe(
-            page -> {
-              hasListedFleet = true;
-              onListed(Collection.GATEWAYS, page.items(), page.position(), 0);
-              announceIfNotListed();
-              updateWatching();
-            },
-            cause -> {
-              LOG.warnf("fleet: failed to list the gateways: %s", cause.getMessage());
-              announceIfNotListed();
-            });
-  }
-
-  /**
-   * Announces this gateway once, unless the store already lists it unchanged, as after a restart.
-   */
-  private void announceIfNotListed() {
-    if (!hasAnnounced && !stateCache.gateways().contains(self)) {
-      hasAnnounced = true;
-      announce();
-    }
-  }
-
   /**
    * Lists possibly stale collections once, so that requests can be served while the watchers are
    * still starting.
@@ -255,7 +200,8 @@
             || nowNs - startedNs > FLEET_GRACE_MS * NS_PER_MS;
     boolean isWatcher = subscriptions.update(knownGateways, self, nowNs);
     boolean isSupplied = subscriptions.isFresh();
-    boolean isAlone = knownGateways.isEmpty() && !settings.relay().firstStart() && hasListedFleet;
+    boolean isAlone =
+        knownGateways.isEmpty() && !settings.relay().firstStart() && directory.hasBeenListed();
     boolean isUnsupplied =
         !isSupplied
             && hasGraceElapsed
@@ -359,15 +305,24 @@
       Collection collection, List<ObjectFeed.Item> items, StorePosition position, long graceNs) {
     StorePosition previous = stateCache.position(collection);
     if (position.epoch() > previous.epoch() && previous.revision() > 0) {
-      scheduleRefresh(OutageTracker.RENEWAL_GRACE_NS);
-      scheduleRefresh(TrafficStateCache.REWRITE_GRACE_NS);
       LOG.warnf(
           "store: returned from a copy: %s at revision %s after %s",
           collection, position, previous);
+      onReturnFromCopy(collection, items);
     }
     return stateCache.replace(collection, items, position, components.clock().nowNs(), graceNs);
   }
 
+  private void onReturnFromCopy(Collection collection, List<ObjectFeed.Item> items) {
+    scheduleRefresh(OutageTracker.RENEWAL_GRACE_NS);
+    scheduleRefresh(TrafficStateCache.REWRITE_GRACE_NS);
+    if (collection == Collection.CONFIGURATION) {
+      directory.onReturnFromCopy(storeWatch.isWatching());
+    } else if (collection == Collection.GATEWAYS) {
+      directory.announceUnlessListed(items);
+    }
+  }
+
   private void apply(Collection collection, ObjectFeed.Changes changes, long graceNs) {
     if (stateCache.apply(collection, changes, components.clock().nowNs(), graceNs)) {
       scheduleRefresh(graceNs);
@@ -384,6 +339,24 @@
     }
   }
 
+  private final class DirectoryListener implements GatewayDirectory.Listener {
+    @Override
+    public boolean needsList() {
+      return storeWatch.isWatching() || stateCache.gateways().isEmpty();
+    }
+
+    @Override
+    public void onListed(ObjectFeed.Page page) {
+      StateSync.this.onListed(Collection.GATEWAYS, page.items(), page.position(), 0);
+      updateWatching();
+    }
+
+    @Override
+    public boolean isKnown(GatewayEntry gateway) {
+      return stateCache.gateways().contains(gateway);
+    }
+  }
+
   private void schedule(Runnable action, long delayMs) {
     components.loop().schedule(action, delayMs, TimeUnit.MILLISECONDS);
   }
--- a/edge/src/test/java/org/cowslipstair/edge/relay/StateSyncTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/relay/StateSyncTest.java
@@ -125,6 +125,18 @@
     await(() -> nodes.stream().allMatch(node -> node.version() == 8));
   }
 
+  /** Gateways whose announcements were written after the copy was made are unknown to new ones. */
+  @Test
+  void gatewaysThatACopyLacksAnnounceThemselvesAgain() throws InterruptedException {
+    Node supplied = startFleet();
+    storeUnreachable = true;
+    await(() -> supplied.failedLists.get() > 0);
+    announced.clear();
+    epoch = 2;
+    storeUnreachable = false;
+    await(() -> announced.size() == nodes.size());
+  }
+
   @Test
   void newGatewayGetsItsStateFromASeedWhileTheStoreIsUnreachable() throws InterruptedException {
     Node first = startNode("g-1", List.of());
