Notice the store's return from a copy though a watch hangs over it

A watch that the return does not end waits for a revision of the past, up to 29 s, while its gateway proves its contact with the store to the others of its zone: a confirmed change is in force nowhere in the zone. The list that renews the proof tells the epoch; if it is later than that of the watches, they are replaced, and no proof is given until the new lists are there.

StateSyncTest.watchThatHangsOverTheStoresReturnIsReplaced failed before (not in force within a minute) and passes.

--- a/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
@@ -242,9 +242,14 @@
         .list(Collection.ZONES_OUT, Optional.empty(), Freshness.CACHED)
         .observeOn(scheduler)
         .subscribe(
-            _ -> {
+            page -> {
               isRenewingContact = false;
-              recordContact(requestedNs);
+              if (page.position().epoch() > stateCache.position(Collection.ZONES_OUT).epoch()) {
+                LOG.warn("relay: the store has returned from a copy without ending the watches");
+                storeWatch.restart();
+              } else {
+                recordContact(requestedNs);
+              }
             },
             cause -> {
               isRenewingContact = false;
--- a/edge/src/main/java/org/cowslipstair/edge/sync/StoreWatch.java
+++ b/edge/src/main/java/org/cowslipstair/edge/sync/StoreWatch.java
@@ -118,6 +118,12 @@
     }
   }
 
+  /** Replaces the watches in progress by new lists, because they may never end. */
+  public void restart() {
+    stop();
+    start(true);
+  }
+
   /** Stops watching and probing. */
   public void stop() {
     followers.forEach(CollectionFollower::stop);
--- a/edge/src/test/java/org/cowslipstair/edge/relay/StateSyncTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/relay/StateSyncTest.java
@@ -137,6 +137,18 @@
     await(() -> announced.size() == nodes.size());
   }
 
+  /** A watch that hangs over the store's return keeps all changes from the whole zone. */
+  @Test
+  void watchThatHangsOverTheStoresReturnIsReplaced() throws InterruptedException {
+    startFleet();
+    version = 6;
+    await(() -> nodes.stream().allMatch(node -> node.version() == 6));
+    lostRevisions = 4;
+    epoch = 2;
+    version = 7;
+    await(() -> nodes.stream().allMatch(node -> node.version() == 7));
+  }
+
   @Test
   void newGatewayGetsItsStateFromASeedWhileTheStoreIsUnreachable() throws InterruptedException {
     Node first = startNode("g-1", List.of());
@@ -245,12 +257,13 @@
 
       @Override
       public Single<Changes> watch(Collection collection, long revision, long waitMs) {
+        long watchedEpoch = epoch;
         Single<Changes> changes =
             collection == Collection.CONFIGURATION
                 ? Single.timer(5, TimeUnit.MILLISECONDS)
                     .repeat()
                     .doOnNext(_ -> failIfUnreachable())
-                    .filter(_ -> position().revision() > revision)
+                    .filter(_ -> epoch == watchedEpoch && position().revision() > revision)
                     .firstOrError()
                     .map(_ -> new Changes(List.of(plan()), Set.of(), position()))
                 : Single.never();
