Test that the other data path follows a store that comes back from a copy; it fails

gateway/ refuses a store whose revisions or objects have gone back until an operator accepts it, as record 9 decided. The users now ask that changes are in force in time with nobody watching. ConfigCoreTest: zone-2 stays "out" instead of "new".

--- a/lib/src/test/java/org/cowslipstair/logic/config/ConfigCoreTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/config/ConfigCoreTest.java
@@ -12,6 +12,7 @@
 import org.cowslipstair.model.config.StoredObject;
 import org.cowslipstair.model.fleet.GatewayName;
 import org.cowslipstair.model.peer.ConfigMessage.ConfigObjects;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 class ConfigCoreTest {
@@ -81,6 +82,28 @@
     assertZoneStates(fleet, "out again");
   }
 
+  /**
+   * Incident 5 in the other data path: a change that is confirmed after the store has come back
+   * from a copy is not in force until an operator accepts the store.
+   */
+  @Test
+  @Tag("known-red")
+  void changeAfterTheStoresReturnFromACopyIsInForceWithNobodyWatching() {
+    SimulatedConfigFleet fleet = startFleet();
+    InMemoryStore copy = fleet.store.copy("store-a");
+    fleet.store.write(1, "out");
+    fleet.store.write(2, "out");
+    fleet.run(1_000);
+    fleet.store = copy;
+    fleet.run(1_000);
+    fleet.store.write(2, "out");
+    fleet.store.write(1, "out");
+    fleet.store.write(2, "new");
+    fleet.run(4_000);
+    assertZoneStates(fleet, "out");
+    fleet.nodes.values().forEach(node -> assertThat(node.stateOf(2), is("new")));
+  }
+
   @Test
   void storeRestoredFromBackupWithSameIdIsRefusedUntilAccepted() {
     SimulatedConfigFleet fleet = startFleet();
