Let the store of the soak come back from a copy

The soak's store takes a copy, goes away some seconds later, comes back from the copy in its next epoch and gives revisions out again; then the operator and the backend servers write again what was lost, and entries of servers that have gone expire. StoreModelTest covers the return.

--- a/soak/src/main/java/org/cowslipstair/soak/fault/Fault.java
+++ b/soak/src/main/java/org/cowslipstair/soak/fault/Fault.java
@@ -38,6 +38,9 @@
   /** The store discards its change history. */
   record StoreForgets() implements Fault {}
 
+  /** The store goes away and comes back from a copy. */
+  record StoreReturns(long copyAgeMs, long awayMs) implements Fault {}
+
   /** A backend server misbehaves. */
   record BackendFault(int backend, Backend.Fault fault, long forMs) implements Fault {}
 
--- a/soak/src/main/java/org/cowslipstair/soak/fault/FaultInjector.java
+++ b/soak/src/main/java/org/cowslipstair/soak/fault/FaultInjector.java
@@ -8,6 +8,7 @@
 import org.cowslipstair.soak.fleet.Backend;
 import org.cowslipstair.soak.fleet.Fleet;
 import org.cowslipstair.soak.fleet.GatewayProcess;
+import org.cowslipstair.soak.fleet.StoreModel;
 import org.cowslipstair.soak.net.FaultyLink;
 
 /** Injects faults. Each call needs its own thread, as it returns only when its fault has ended. */
@@ -79,6 +80,7 @@
               () -> fleet.storeFaults().losesResponses = true,
               () -> fleet.storeFaults().losesResponses = false);
       case Fault.StoreForgets() -> applyFor(0, fleet::forgetHistory, () -> {});
+      case Fault.StoreReturns(long copyAgeMs, long awayMs) -> returnStoreToCopy(copyAgeMs, awayMs);
       case Fault.BackendFault(int index, Backend.Fault backendFault, long forMs) -> {
         Backend backend = backend(index);
         backend.setFault(backendFault);
@@ -170,6 +172,19 @@
         () -> links.forEach(link -> link.setCondition(FaultyLink.Condition.GOOD)));
   }
 
+  private void returnStoreToCopy(long copyAgeMs, long awayMs) throws InterruptedException {
+    StoreModel.Copy copy = fleet.storeCopy();
+    TimeUnit.MILLISECONDS.sleep(copyAgeMs);
+    DisturbanceLog.Disturbance disturbance = disturbanceLog.recordStart(System.nanoTime());
+    List<FaultyLink> links = fleet.gateways().stream().map(GatewayProcess::storeLink).toList();
+    links.forEach(link -> link.setCondition(FaultyLink.Condition.RESET));
+    TimeUnit.MILLISECONDS.sleep(awayMs);
+    fleet.returnStoreTo(copy);
+    links.forEach(link -> link.setCondition(FaultyLink.Condition.GOOD));
+    fleet.writeAgain();
+    disturbance.recordEnd(System.nanoTime());
+  }
+
   private void applyFor(long forMs, Runnable begin, Runnable end) throws InterruptedException {
     DisturbanceLog.Disturbance disturbance = disturbanceLog.recordStart(System.nanoTime());
     begin.run();
--- a/soak/src/main/java/org/cowslipstair/soak/fault/FaultPlan.java
+++ b/soak/src/main/java/org/cowslipstair/soak/fault/FaultPlan.java
@@ -55,6 +55,7 @@
     STORE_REFUSES,
     STORE_LOSES,
     STORE_FORGETS,
+    STORE_RETURNS,
     BACKEND_FAULT,
     BACKEND_LINK,
     BACKEND_CRASH,
@@ -78,6 +79,7 @@
       case STORE_REFUSES -> new Fault.StoreRefuses(forMs);
       case STORE_LOSES -> new Fault.StoreLosesAnswers(forMs);
       case STORE_FORGETS -> new Fault.StoreForgets();
+      case STORE_RETURNS -> new Fault.StoreReturns(forMs, random.nextInt(2_500));
       case BACKEND_FAULT -> new Fault.BackendFault(index, randomBackendFault(), forMs);
       case BACKEND_LINK -> new Fault.BackendLink(index, randomCondition(), forMs);
       case BACKEND_CRASH -> new Fault.BackendCrash(index);
--- a/soak/src/main/java/org/cowslipstair/soak/fleet/Fleet.java
+++ b/soak/src/main/java/org/cowslipstair/soak/fleet/Fleet.java
@@ -8,10 +8,13 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
 import org.cowslipstair.soak.Limits;
 import org.cowslipstair.soak.check.FleetChecks;
 import org.cowslipstair.soak.check.RequestLog;
@@ -34,6 +37,7 @@
   private static final int SEED_COUNT = 3;
   private static final long COLD_MS = 3_000;
   private static final long ENTRY_EXPIRY_MS = 4_500;
+  private static final long REWRITE_DELAY_MS = 500;
   private static final long LEAVE_MARGIN_MS = 1_500;
   private static final long LONG_TIMEOUT_MS = 2_500;
   private static final long SHORT_TIMEOUT_MS = 1_500;
@@ -53,6 +57,8 @@
   private final AtomicBoolean isAnyZoneOut = new AtomicBoolean();
   private final AtomicLong sequence = new AtomicLong();
   private long version;
+  private ObjectNode configuration = emptySpec();
+  private Optional<String> zoneOut = Optional.empty();
 
   /** Starts a fleet that writes its files to the directory. */
   public Fleet(
@@ -147,6 +153,53 @@
     store.forgetHistory();
   }
 
+  /** Returns a copy of the store. */
+  public StoreModel.Copy storeCopy() {
+    return store.copy();
+  }
+
+  /** Brings the store back from a copy. */
+  public void returnStoreTo(StoreModel.Copy copy) {
+    store.returnTo(copy);
+  }
+
+  /**
+   * Writes what the operator and the backend servers had written before the store came back from a
+   * copy. Entries of backend servers that have gone expire after a delay.
+   */
+  public void writeAgain() throws InterruptedException {
+    TimeUnit.MILLISECONDS.sleep(REWRITE_DELAY_MS);
+    writeOperatorObjectsAgain();
+    writeAllReports();
+    TimeUnit.MILLISECONDS.sleep(ENTRY_EXPIRY_MS);
+    Set<String> present = backends.stream().map(Backend::name).collect(Collectors.toSet());
+    for (StoreModel.Item item : store.list(system.kind(Kind.BACKENDS))) {
+      if (!present.contains(item.name())) {
+        store.delete(system.kind(Kind.BACKENDS), item.name());
+      }
+    }
+  }
+
+  private synchronized void writeOperatorObjectsAgain() {
+    store.put(system.kind(Kind.CONFIGURATION), "main", configuration);
+    for (String zone : ZONES) {
+      writeZone(zone);
+    }
+  }
+
+  private synchronized void setZoneOut(String zone, boolean isOut) {
+    zoneOut = isOut ? Optional.of(zone) : Optional.empty();
+    writeZone(zone);
+  }
+
+  private void writeZone(String zone) {
+    if (zoneOut.equals(Optional.of(zone))) {
+      store.put(system.kind(Kind.ZONES_OUT), zone, emptySpec());
+    } else {
+      store.delete(system.kind(Kind.ZONES_OUT), zone);
+    }
+  }
+
   /** Writes a report of every backend server to the store, as real ones do periodically. */
   public void writeAllReports() {
     backends.forEach(this::writeReport);
@@ -162,10 +215,8 @@
             new SoakRoute("safe", "safe", SERVICES.getFirst(), timeoutMs),
             new SoakRoute("unsafe", "unsafe", other, timeoutMs),
             new SoakRoute("upload", "upload", SERVICES.getLast(), timeoutMs));
-    store.put(
-        system.kind(Kind.CONFIGURATION),
-        "main",
-        system.configuration(version, routes, coldRequestsPerSecond()));
+    configuration = system.configuration(version, routes, coldRequestsPerSecond());
+    store.put(system.kind(Kind.CONFIGURATION), "main", configuration);
     return version;
   }
 
@@ -230,7 +281,7 @@
     if (!isAnyZoneOut.compareAndSet(false, true)) {
       return;
     }
-    store.put(system.kind(Kind.ZONES_OUT), zone, emptySpec());
+    setZoneOut(zone, true);
     long acceptedNs = System.nanoTime();
     List<Backend> inZone = backends.stream().filter(b -> b.zone().equals(zone)).toList();
     TimeUnit.MILLISECONDS.sleep(forMs);
@@ -241,7 +292,7 @@
                 new FleetChecks.ClosedPeriod(
                     "no new work for a zone that is out", b.name(), acceptedNs, untilNs)));
     inZone.forEach(this::startCold);
-    store.delete(system.kind(Kind.ZONES_OUT), zone);
+    setZoneOut(zone, false);
     isAnyZoneOut.set(false);
   }
 
--- a/soak/src/main/java/org/cowslipstair/soak/fleet/StoreModel.java
+++ b/soak/src/main/java/org/cowslipstair/soak/fleet/StoreModel.java
@@ -8,14 +8,15 @@
 import java.util.TreeMap;
 
 /**
- * In-memory store of objects with one revision counter and a change history for watches.
- * Thread-safe.
+ * In-memory store of objects with one revision counter and a change history for watches. Can return
+ * to an earlier copy, which loses all writes since. Thread-safe.
  */
 public final class StoreModel {
   private final Map<String, Map<String, Item>> kinds = new TreeMap<>();
   private final List<Event> history = new ArrayList<>();
   private long revision = 1;
   private long historyStartRevision;
+  private long epoch = 1;
 
   /** An object at the revision of its last change. */
   public record Item(String name, long revision, ObjectNode spec) {}
@@ -23,6 +24,9 @@
   /** A change of one object. */
   public record Event(String kind, Item item, boolean deleted, long revision) {}
 
+  /** The content of the store at one time. */
+  public record Copy(Map<String, Map<String, Item>> kinds, long revision) {}
+
   /** Result of a watch. */
   public sealed interface WatchResult {
     /** The changes after the revision; empty if the wait timed out. */
@@ -63,6 +67,29 @@
     return List.copyOf(kinds.getOrDefault(kind, Map.of()).values());
   }
 
+  /** Returns a copy of the content. */
+  public synchronized Copy copy() {
+    Map<String, Map<String, Item>> copied = new TreeMap<>();
+    kinds.forEach((kind, items) -> copied.put(kind, new TreeMap<>(items)));
+    return new Copy(copied, revision);
+  }
+
+  /** Returns to a copy and begins the next epoch; ends all waiting watches. */
+  public synchronized void returnTo(Copy copy) {
+    kinds.clear();
+    copy.kinds().forEach((kind, items) -> kinds.put(kind, new TreeMap<>(items)));
+    revision = copy.revision();
+    history.clear();
+    historyStartRevision = revision;
+    epoch++;
+    notifyAll();
+  }
+
+  /** Returns the number of the epoch, which rises with each return to a copy. */
+  public synchronized long epoch() {
+    return epoch;
+  }
+
   /** Returns the current revision of the store. */
   public synchronized long revision() {
     return revision;
@@ -79,8 +106,10 @@
   public synchronized WatchResult watch(String kind, long afterRevision, long waitMs)
       throws InterruptedException {
     long endNs = System.nanoTime() + waitMs * 1_000_000L;
+    long startEpoch = epoch;
     while (true) {
-      if (afterRevision < historyStartRevision) {
+      boolean isUnknown = afterRevision < historyStartRevision || afterRevision > revision;
+      if (isUnknown || epoch != startEpoch) {
         return new WatchResult.HistoryGone();
       }
       List<Event> events =
--- a/soak/src/test/java/org/cowslipstair/soak/fleet/StoreModelTest.java
+++ b/soak/src/test/java/org/cowslipstair/soak/fleet/StoreModelTest.java
@@ -30,6 +30,18 @@
     assertThat(model.list("k").size(), is(1));
   }
 
+  @Test
+  void returnToACopyLosesLaterWritesAndGivesRevisionsOutAgain() throws InterruptedException {
+    put("a");
+    StoreModel.Copy copy = model.copy();
+    long lostRevision = put("b");
+    model.returnTo(copy);
+    assertThat(model.list("k").size(), is(1));
+    assertThat(model.epoch(), is(2L));
+    assertThat(watch(lostRevision), instanceOf(StoreModel.WatchResult.HistoryGone.class));
+    assertThat(put("c"), is(lostRevision));
+  }
+
   @Test
   void watchBeforeForgottenHistoryReportsHistoryGone() throws InterruptedException {
     long first = put("a");
