Ask who issues permits without taking one

A new gateway that ranks first asks the next three whether they issue permits of a server, and did so by requesting a permit. While they do not know it yet, up to 19 s until they list the fleet again, each of its own requests took permits that nobody used, at up to the whole rate of a limit of a few requests a second, and the callers of all others were refused meanwhile. The question now takes none.

Found by reading. RateLimitCoordinatorTest.askingWhoIssuesTakesNoPermit does not compile against the previous commit's messages (0 requests were malformed); the simulated fleet asks in the same way.

--- a/edge/src/main/java/org/cowslipstair/edge/permit/PermitMessage.java
+++ b/edge/src/main/java/org/cowslipstair/edge/permit/PermitMessage.java
@@ -16,13 +16,14 @@
    * Requests a permit.
    *
    * @param id number of the request on its connection; the reply repeats it
-   * @param requests number of requests that the permit is for, probes included; 1 or 2
+   * @param requests number of requests that the permit is for, probes included: 1 or 2; 0 to learn
+   *     only whether the receiver issues permits
    */
   record Request(long id, Backend backend, int requests, Optional<Observed> observed)
       implements PermitMessage {
     /** Validates the number. */
     public Request {
-      if (requests < 1 || requests > 2) {
+      if (requests < 0 || requests > 2) {
         throw new IllegalArgumentException("permit for " + requests + " requests");
       }
     }
--- a/edge/src/main/java/org/cowslipstair/edge/permit/PermitService.java
+++ b/edge/src/main/java/org/cowslipstair/edge/permit/PermitService.java
@@ -312,7 +312,7 @@
         name(entry), entry.stats().rateLimit(), requests, gateways, links::isUnreachable, nowNs);
   }
 
-  /** Asks another gateway for a permit; it confirms this one as the issuer by not being one. */
+  /** Asks another gateway whether it issues permits; it confirms this one if it does not. */
   private void requestConfirmation(String gateway, BackendEntry entry) {
     boolean isPending =
         pendingRequests.values().stream()
@@ -323,7 +323,7 @@
     send(
         gateway,
         entry,
-        1,
+        0,
         response -> {
           if (response instanceof RateLimitCoordinator.Response.NotIssuer) {
             coordinator.recordConfirmation(name(entry), gateway);
--- a/lib/src/main/java/org/cowslipstair/logic/ratelimit/RateLimitCoordinator.java
+++ b/lib/src/main/java/org/cowslipstair/logic/ratelimit/RateLimitCoordinator.java
@@ -99,7 +99,8 @@
    * Responds to a request for a permit, of this gateway or another one.
    *
    * @param limit limit that the backend server advertises; empty if it advertises none
-   * @param requests number of requests that the permit is for, probes included
+   * @param requests number of requests that the permit is for, probes included; 0 to learn only
+   *     whether this gateway issues permits
    * @param gateways names of all known gateways; must be immutable
    * @param isUnreachable whether a gateway has been found unreachable from here
    */
@@ -117,6 +118,9 @@
     if (!issuer.equals(Optional.of(self))) {
       return new Response.NotIssuer(issuer);
     }
+    if (requests == 0) {
+      return new Response.Denied(0);
+    }
     boolean isFirst = ranking.ranked(backend, gateways).getFirst().equals(self);
     PermitIssuer.Role role =
         isFirst && unconfirmed(backend, gateways, isUnreachable).isEmpty()
--- a/lib/src/test/java/org/cowslipstair/logic/ratelimit/RateLimitCoordinatorTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/ratelimit/RateLimitCoordinatorTest.java
@@ -136,6 +136,22 @@
         instanceOf(RateLimitCoordinator.Response.NotIssuer.class));
   }
 
+  /** A gateway that asks to be confirmed would otherwise use up the permits of the others. */
+  @Test
+  void askingWhoIssuesTakesNoPermit() {
+    RateLimitCoordinator coordinator = new RateLimitCoordinator("g", InvariantMonitor.failing());
+    for (int i = 0; i < 10; i++) {
+      assertThat(
+          coordinator.respond(
+              BACKEND, Optional.of(new RateLimit(1)), 0, List.of("g"), _ -> false, 0),
+          instanceOf(RateLimitCoordinator.Response.Denied.class));
+    }
+    assertThat(coordinator.issuedCount(), is(0L));
+    assertThat(
+        coordinator.respond(BACKEND, Optional.of(new RateLimit(1)), 1, List.of("g"), _ -> false, 0),
+        instanceOf(RateLimitCoordinator.Response.Granted.class));
+  }
+
   @Test
   void withdrawnLimitNeedsNoPermit() {
     RateLimitCoordinator coordinator = new RateLimitCoordinator("g", InvariantMonitor.failing());
--- a/lib/src/test/java/org/cowslipstair/logic/ratelimit/SimulatedPermitFleet.java
+++ b/lib/src/test/java/org/cowslipstair/logic/ratelimit/SimulatedPermitFleet.java
@@ -135,14 +135,17 @@
       return;
     }
     if (issuer.get().equals(gateway.name)) {
-      onResponse.accept(respond(gateway));
+      onResponse.accept(respond(gateway, 1));
     } else {
-      request(gateway, issuer.get(), onResponse);
+      request(gateway, issuer.get(), 1, onResponse);
     }
   }
 
   private void request(
-      Gateway gateway, String to, Consumer<RateLimitCoordinator.Response> onResponse) {
+      Gateway gateway,
+      String to,
+      int requests,
+      Consumer<RateLimitCoordinator.Response> onResponse) {
     if (isCut.test(gateway.name, to)) {
       suspect(gateway, to);
       return;
@@ -150,7 +153,7 @@
     schedule(
         delayNs(),
         () -> {
-          RateLimitCoordinator.Response response = respond(find(to));
+          RateLimitCoordinator.Response response = respond(find(to), requests);
           schedule(delayNs(), () -> onResponse.accept(response));
         });
   }
@@ -174,12 +177,13 @@
         });
   }
 
-  private RateLimitCoordinator.Response respond(Gateway gateway) {
+  private RateLimitCoordinator.Response respond(Gateway gateway, int requests) {
     for (String other :
         gateway.coordinator.unconfirmed(BACKEND, gateway.view, gateway.unreachable::contains)) {
       request(
           gateway,
           other,
+          0,
           response -> {
             if (response instanceof RateLimitCoordinator.Response.NotIssuer) {
               gateway.coordinator.recordConfirmation(BACKEND, other);
@@ -188,7 +192,12 @@
     }
     RateLimitCoordinator.Response response =
         gateway.coordinator.respond(
-            BACKEND, Optional.of(limit), 1, gateway.view, gateway.unreachable::contains, nowNs);
+            BACKEND,
+            Optional.of(limit),
+            requests,
+            gateway.view,
+            gateway.unreachable::contains,
+            nowNs);
     if (response instanceof RateLimitCoordinator.Response.NotIssuer(var issuer)
         && issuer.filter(name -> isCut.test(gateway.name, name)).isPresent()) {
       suspect(gateway, issuer.get());
