Choose ports in soak and tests that outgoing connections cannot take

Ports are now chosen below the range of outgoing connections. The fixture of the gateway tests does the same since it starts fleets.

--- a/edge/src/test/java/org/cowslipstair/edge/GatewayFixture.java
+++ b/edge/src/test/java/org/cowslipstair/edge/GatewayFixture.java
@@ -8,6 +8,7 @@
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Single;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.ServerSocket;
 import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
@@ -15,6 +16,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntConsumer;
 import org.cowslipstair.edge.caller.CallerServer;
@@ -137,9 +139,15 @@
     this.gateway = gateways.getFirst();
   }
 
+  /** Returns a free port below those of outgoing connections, which could take it meanwhile. */
   private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
+    while (true) {
+      int port = ThreadLocalRandom.current().nextInt(12_000, 32_000);
+      try (ServerSocket socket = new ServerSocket(port)) {
+        return socket.getLocalPort();
+      } catch (BindException ignored) {
+        // The port is in use.
+      }
     }
   }
 
--- a/soak/src/main/java/org/cowslipstair/soak/fleet/Fleet.java
+++ b/soak/src/main/java/org/cowslipstair/soak/fleet/Fleet.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Path;
@@ -11,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
@@ -43,6 +45,11 @@
   private static final long SHORT_TIMEOUT_MS = 1_500;
   private static final long NS_PER_MS = 1_000_000L;
 
+  /** Below the ports of outgoing connections, one of which could take a port before its daemon. */
+  private static final int MIN_PORT = 12_000;
+
+  private static final int MAX_PORT = 32_000;
+
   private final SystemUnderTest system;
   private final Limits limits;
   private final RequestLog requestLog;
@@ -101,10 +108,14 @@
   private static List<Integer> freePorts(int count) throws IOException {
     List<ServerSocket> sockets = new ArrayList<>();
     List<Integer> ports = new ArrayList<>();
-    for (int i = 0; i < count; i++) {
-      ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-      sockets.add(socket);
-      ports.add(socket.getLocalPort());
+    while (ports.size() < count) {
+      int port = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT);
+      try {
+        sockets.add(new ServerSocket(port, 1, InetAddress.getLoopbackAddress()));
+        ports.add(port);
+      } catch (BindException ignored) {
+        // The port is in use.
+      }
     }
     for (ServerSocket socket : sockets) {
       socket.close();
