Log the fingerprint of requests under which a connection ended; command crash-log

Nothing in the logs told whether the requests under which servers end are the same: each return of a client has a new id. A fingerprint over caller, method, host, target and body is now in the line of a send that ended with its connection, and crash-log groups the logs of a fleet by it. It is computed only then: a request that gets a response pays nothing.

--- a/cli/src/main/java/org/cowslipstair/cli/Cli.java
+++ b/cli/src/main/java/org/cowslipstair/cli/Cli.java
@@ -41,6 +41,7 @@
     commands.put("explain", new ExplainCommand());
     commands.put("explain-log", new ExplainLogCommand());
     commands.put("audit-log", new AuditLogCommand());
+    commands.put("crash-log", new CrashLogCommand());
     commands.put("store", new StoreCommand());
     return commands;
   }
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/AttemptResults.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/AttemptResults.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
+import org.cowslipstair.model.call.MayHaveRunReason;
 
 /** Functions on the results of sends. */
 final class AttemptResults {
@@ -20,6 +21,13 @@
     };
   }
 
+  /** Returns whether the connection ended before there was a complete response. */
+  static boolean isConnectionLost(Attempt.Result result) {
+    return result instanceof Attempt.Result.StreamAborted
+        || result instanceof Attempt.Result.Failed(var reason, _)
+            && reason == MayHaveRunReason.CONNECTION_LOST;
+  }
+
   /** Releases the buffers of a result. */
   static void release(Attempt.Result result) {
     if (result instanceof Attempt.Result.CompleteResponse response) {
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
@@ -24,6 +24,7 @@
 import org.cowslipstair.model.call.NotRunReason;
 import org.cowslipstair.model.config.BackendName;
 import org.cowslipstair.model.config.ServiceName;
+import org.cowslipstair.model.traffic.RequestFingerprint;
 import org.cowslipstair.model.traffic.Route;
 import org.jspecify.annotations.Nullable;
 
@@ -216,13 +217,10 @@
   public void onAttemptEnded(Attempt attempt, Attempt.Result result) {
     activeAttempts.remove(attempt);
     long nowNs = context.nowNs();
-    context
-        .observer()
-        .onAttemptEnded(
-            message.requestId(),
-            attempt.entry().stats().instance().name(),
-            AttemptResults.name(result),
-            nowNs - attempt.sentNs());
+    boolean isLost = !finished && AttemptResults.isConnectionLost(result);
+    Optional<RequestFingerprint> fingerprint =
+        isLost ? Optional.of(message.fingerprint()) : Optional.empty();
+    context.reportAttemptEnd(message, attempt, AttemptResults.name(result), fingerprint);
     boolean isSuccess =
         result instanceof Attempt.Result.CompleteResponse(var head, _)
             && !AttemptResults.isFailure(head);
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -26,6 +27,7 @@
 import org.cowslipstair.logic.placement.FailureAverage;
 import org.cowslipstair.logic.placement.ServiceTimes;
 import org.cowslipstair.model.config.ServiceName;
+import org.cowslipstair.model.traffic.RequestFingerprint;
 import org.cowslipstair.model.traffic.Route;
 import org.cowslipstair.port.MonotonicClock;
 
@@ -211,4 +213,19 @@
                 (deadlineNs - nowNs) / NS_PER_MS,
                 nowNs - message.arrivedNs()));
   }
+
+  void reportAttemptEnd(
+      RequestMessage message,
+      Attempt attempt,
+      String result,
+      Optional<RequestFingerprint> fingerprint) {
+    observer()
+        .onAttemptEnded(
+            new ExchangeObserver.AttemptEnd(
+                message.requestId(),
+                attempt.entry().stats().instance().name(),
+                result,
+                nowNs() - attempt.sentNs(),
+                fingerprint));
+  }
 }
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeObserver.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeObserver.java
@@ -4,6 +4,7 @@
 import org.cowslipstair.logic.budget.RetryBudget;
 import org.cowslipstair.model.config.BackendName;
 import org.cowslipstair.model.config.ServiceName;
+import org.cowslipstair.model.traffic.RequestFingerprint;
 import org.cowslipstair.model.traffic.Route;
 
 /**
@@ -20,8 +21,7 @@
   void onRetryBudgetCreated(ServiceName service, RetryBudget budget);
 
   /** A send has ended. */
-  void onAttemptEnded(
-      Optional<String> requestId, BackendName backend, String result, long durationNs);
+  void onAttemptEnded(AttemptEnd end);
 
   /**
    * Summary of a finished exchange.
@@ -60,4 +60,18 @@
       String load,
       long remainingMs,
       long waitedNs) {}
+
+  /**
+   * The end of a send.
+   *
+   * @param result status of the response, or why there is none
+   * @param fingerprint identifies the request when it comes again; present if the connection ended
+   *     while the backend server had the request
+   */
+  record AttemptEnd(
+      Optional<String> requestId,
+      BackendName backend,
+      String result,
+      long durationNs,
+      Optional<RequestFingerprint> fingerprint) {}
 }
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/RequestMessage.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/RequestMessage.java
@@ -1,14 +1,18 @@
 package org.cowslipstair.edge.exchange;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.cowslipstair.model.traffic.RequestFingerprint;
 
 /**
  * A complete request of a caller.
  *
+ * @param caller network address of the caller, without the port
  * @param target path and query as the caller sent them
  * @param body body; empty if there is none
  * @param hasBody whether the request has a Content-Length or Transfer-Encoding; the body may still
@@ -19,6 +23,7 @@
  * @param arrivedNs monotonic time at which the head arrived
  */
 public record RequestMessage(
+    String caller,
     HttpMethod method,
     String target,
     HttpHeaders headers,
@@ -32,6 +37,16 @@
     return path(target);
   }
 
+  /** Returns the fingerprint; computed at each call, since few requests need it. */
+  RequestFingerprint fingerprint() {
+    return RequestFingerprint.of(
+        caller,
+        method.name(),
+        headers.get(HttpHeaderNames.HOST, ""),
+        target,
+        List.of(body.nioBuffers()));
+  }
+
   /** Returns the path of a request target without the query. */
   public static String path(String target) {
     int query = target.indexOf('?');
--- a/edge/src/main/java/org/cowslipstair/edge/log/GatewayLog.java
+++ b/edge/src/main/java/org/cowslipstair/edge/log/GatewayLog.java
@@ -5,7 +5,6 @@
 import java.util.Optional;
 import org.cowslipstair.edge.exchange.ExchangeObserver;
 import org.cowslipstair.logic.budget.RetryBudget;
-import org.cowslipstair.model.config.BackendName;
 import org.cowslipstair.model.config.ServiceName;
 import org.cowslipstair.model.traffic.Route;
 import org.cowslipstair.port.MonotonicClock;
@@ -86,16 +85,16 @@
   }
 
   @Override
-  public void onAttemptEnded(
-      Optional<String> requestId, BackendName backend, String result, long durationNs) {
-    metrics.recordAttempt(result, durationNs);
-    if (result.startsWith("2") && !ordinaryLineLimiter.tryAcquire()) {
+  public void onAttemptEnded(AttemptEnd end) {
+    metrics.recordAttempt(end.result(), end.durationNs());
+    if (end.result().startsWith("2") && !ordinaryLineLimiter.tryAcquire()) {
       return;
     }
-    Map<String, Object> fields = fields(requestId);
-    fields.put("backend", backend.value());
-    fields.put("result", result);
-    fields.put("took_ms", durationNs / NS_PER_MS);
+    Map<String, Object> fields = fields(end.requestId());
+    fields.put("backend", end.backend().value());
+    fields.put("result", end.result());
+    fields.put("took_ms", end.durationNs() / NS_PER_MS);
+    end.fingerprint().ifPresent(fingerprint -> fields.put("fingerprint", fingerprint.hex()));
     write("exchange: answer", fields);
   }
 
--- a/edge/src/test/java/org/cowslipstair/edge/log/GatewayLogTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/log/GatewayLogTest.java
@@ -18,6 +18,7 @@
 import org.cowslipstair.edge.exchange.ExchangeObserver;
 import org.cowslipstair.model.config.BackendName;
 import org.cowslipstair.model.config.ServiceName;
+import org.cowslipstair.model.traffic.RequestFingerprint;
 import org.cowslipstair.model.traffic.RequestKind;
 import org.cowslipstair.model.traffic.Route;
 import org.cowslipstair.model.traffic.WeightedService;
@@ -117,10 +118,20 @@
     log.onRequestSent(
         new ExchangeObserver.Sent(
             Optional.of("a1"), backend, "hedge", 1.2, "0+0/3", 900, 5_000_000));
-    log.onAttemptEnded(Optional.of("a1"), backend, "CONNECTION_LOST: reset", 7_000_000);
+    RequestFingerprint fingerprint = new RequestFingerprint("0".repeat(32));
+    log.onAttemptEnded(
+        new ExchangeObserver.AttemptEnd(
+            Optional.of("a1"),
+            backend,
+            "CONNECTION_LOST: reset",
+            7_000_000,
+            Optional.of(fingerprint)));
     assertThat(recordingAppender.events, hasSize(2));
     assertThat(recordingAppender.events.getFirst().getMDCPropertyMap(), hasEntry("cause", "hedge"));
     assertThat(recordingAppender.events.getLast().getMDCPropertyMap(), hasEntry("took_ms", "7"));
+    assertThat(
+        recordingAppender.events.getLast().getMDCPropertyMap(),
+        hasEntry("fingerprint", fingerprint.hex()));
     assertThat(log.metrics().text(), containsString("result=\"CONNECTION_LOST\""));
   }
 
