Recognize a request without the address that it comes from

An address is no caller, since clients return over other addresses. The credentials stand for the caller now, so that nobody can make up the request of an account. The digits in front do not depend on the body, so that a request can be compared without hashing its body.

Test: RequestFingerprintTest.

--- a/edge/src/main/java/org/cowslipstair/edge/caller/CallerConnection.java
+++ b/edge/src/main/java/org/cowslipstair/edge/caller/CallerConnection.java
@@ -14,7 +14,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.cowslipstair.edge.exchange.Refusal;
@@ -175,7 +174,7 @@
     state = State.READING;
     QueuedResponse response = responses().add(request.method());
     RequestAssembler newAssembler =
-        new RequestAssembler(callerContext, callerAddress(), request, response, arrivedNs);
+        new RequestAssembler(callerContext, request, response, arrivedNs);
     assembler = newAssembler;
     if (!HttpUtil.isKeepAlive(request) || callerContext.isStopping()) {
       responses().closeAfterLast();
@@ -195,12 +194,6 @@
     startTimer(() -> rejectRequest(response, HttpResponseStatus.REQUEST_TIMEOUT), timeoutMs);
   }
 
-  private String callerAddress() {
-    return responses().context().channel().remoteAddress() instanceof InetSocketAddress address
-        ? address.getAddress().getHostAddress()
-        : "";
-  }
-
   private void writeContinue() {
     responses()
         .context()
--- a/edge/src/main/java/org/cowslipstair/edge/caller/RequestAssembler.java
+++ b/edge/src/main/java/org/cowslipstair/edge/caller/RequestAssembler.java
@@ -19,7 +19,6 @@
   private static final long NS_PER_MS = 1_000_000L;
 
   private final CallerContext callerContext;
-  private final String caller;
   private final HttpRequest head;
   private final QueuedResponse response;
   private final long arrivedNs;
@@ -48,18 +47,12 @@
   /**
    * Creates an assembler without a body.
    *
-   * @param caller network address of the caller, without the port
    * @param response response to the request
    * @param arrivedNs monotonic time at which the head arrived
    */
   RequestAssembler(
-      CallerContext callerContext,
-      String caller,
-      HttpRequest head,
-      QueuedResponse response,
-      long arrivedNs) {
+      CallerContext callerContext, HttpRequest head, QueuedResponse response, long arrivedNs) {
     this.callerContext = callerContext;
-    this.caller = caller;
     this.head = head;
     this.response = response;
     this.arrivedNs = arrivedNs;
@@ -111,7 +104,6 @@
             : OptionalLong.empty();
     boolean hasBody = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
     return new RequestMessage(
-        caller,
         head.method(),
         head.uri(),
         head.headers(),
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/RequestMessage.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/RequestMessage.java
@@ -12,7 +12,6 @@
 /**
  * A complete request of a caller.
  *
- * @param caller network address of the caller, without the port
  * @param target path and query as the caller sent them
  * @param body body; empty if there is none
  * @param hasBody whether the request has a Content-Length or Transfer-Encoding; the body may still
@@ -23,7 +22,6 @@
  * @param arrivedNs monotonic time at which the head arrived
  */
 public record RequestMessage(
-    String caller,
     HttpMethod method,
     String target,
     HttpHeaders headers,
@@ -39,12 +37,16 @@
 
   /** Returns the fingerprint; computed at each call, since few requests need it. */
   RequestFingerprint fingerprint() {
-    return RequestFingerprint.of(
-        caller,
+    return fingerprintHead().with(List.of(body.nioBuffers()));
+  }
+
+  /** Returns the part of the fingerprint that takes no time for the body. */
+  RequestFingerprint.Head fingerprintHead() {
+    return new RequestFingerprint.Head(
+        headers.get(HttpHeaderNames.AUTHORIZATION, ""),
         method.name(),
         headers.get(HttpHeaderNames.HOST, ""),
-        target,
-        List.of(body.nioBuffers()));
+        target);
   }
 
   /** Returns the path of a request target without the query. */
--- a/edge/src/test/java/org/cowslipstair/edge/log/GatewayLogTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/log/GatewayLogTest.java
@@ -118,7 +118,7 @@
     log.onRequestSent(
         new ExchangeObserver.Sent(
             Optional.of("a1"), backend, "hedge", 1.2, "0+0/3", 900, 5_000_000));
-    RequestFingerprint fingerprint = new RequestFingerprint("0".repeat(32));
+    RequestFingerprint fingerprint = new RequestFingerprint("0".repeat(RequestFingerprint.DIGITS));
     log.onAttemptEnded(
         new ExchangeObserver.AttemptEnd(
             Optional.of("a1"),
--- a/lib/src/main/java/org/cowslipstair/model/traffic/RequestFingerprint.java
+++ b/lib/src/main/java/org/cowslipstair/model/traffic/RequestFingerprint.java
@@ -9,15 +9,17 @@
 
 /**
  * Identifies a request by its caller, method, host, target and body, so that it is recognized when
- * it comes again. Ids, deadlines and other headers differ between the returns of a request and do
- * not count. The hash is cryptographic: no caller can make up a request with the fingerprint of
- * another caller's request, and a fingerprint discloses no contents.
+ * it comes again. Ids, deadlines, network addresses and other headers differ between the returns of
+ * a request and do not count. The hash is cryptographic: no caller can make up a request with the
+ * fingerprint of a request that bears other credentials, and a fingerprint discloses no contents.
  *
- * @param hex hexadecimal digits
+ * @param hex hexadecimal digits; the first ones do not depend on the body
  */
 public record RequestFingerprint(String hex) {
   /** Number of hexadecimal digits. */
-  public static final int DIGITS = 32;
+  public static final int DIGITS = 40;
+
+  private static final int HEAD_DIGITS = 16;
 
   /** Validates the digits. */
   public RequestFingerprint {
@@ -26,21 +28,42 @@
     }
   }
 
+  /** Returns the digits that do not depend on the body. */
+  public String headDigits() {
+    return hex.substring(0, HEAD_DIGITS);
+  }
+
   /**
-   * Computes the fingerprint of a request.
+   * The parts of a request without its body.
    *
-   * @param caller network address of the caller, without the port
+   * @param credentials credentials of the caller; empty if there are none
    * @param target path and query
-   * @param body parts of the body in order; read without moving their positions
    */
-  public static RequestFingerprint of(
-      String caller, String method, String host, String target, List<ByteBuffer> body) {
-    Hasher hasher = Hashing.sha256().newHasher();
-    for (String part : List.of(caller, method, host.toLowerCase(Locale.ROOT), target)) {
-      byte[] bytes = part.getBytes(StandardCharsets.UTF_8);
-      hasher.putInt(bytes.length).putBytes(bytes);
+  public record Head(String credentials, String method, String host, String target) {
+    /** Returns the digits of a fingerprint that do not depend on the body. */
+    public String digits() {
+      return hasher().hash().toString().substring(0, HEAD_DIGITS);
+    }
+
+    /**
+     * Returns the fingerprint of the request with a body.
+     *
+     * @param body parts of the body in order; read without moving their positions
+     */
+    public RequestFingerprint with(List<ByteBuffer> body) {
+      Hasher hasher = hasher();
+      body.forEach(part -> hasher.putBytes(part.duplicate()));
+      String digits = hasher.hash().toString();
+      return new RequestFingerprint(digits() + digits.substring(0, DIGITS - HEAD_DIGITS));
+    }
+
+    private Hasher hasher() {
+      Hasher hasher = Hashing.sha256().newHasher();
+      for (String part : List.of(credentials, method, host.toLowerCase(Locale.ROOT), target)) {
+        byte[] bytes = part.getBytes(StandardCharsets.UTF_8);
+        hasher.putInt(bytes.length).putBytes(bytes);
+      }
+      return hasher;
     }
-    body.forEach(part -> hasher.putBytes(part.duplicate()));
-    return new RequestFingerprint(hasher.hash().toString().substring(0, DIGITS));
   }
 }
--- a/lib/src/test/java/org/cowslipstair/model/traffic/RequestFingerprintTest.java
+++ b/lib/src/test/java/org/cowslipstair/model/traffic/RequestFingerprintTest.java
@@ -14,8 +14,14 @@
     return ByteBuffer.wrap(text.getBytes(StandardCharsets.US_ASCII));
   }
 
-  private static RequestFingerprint fingerprint(String caller, String target, ByteBuffer... body) {
-    return RequestFingerprint.of(caller, "POST", "a.example", target, List.of(body));
+  private static RequestFingerprint.Head head(
+      String credentials, String method, String host, String target) {
+    return new RequestFingerprint.Head(credentials, method, host, target);
+  }
+
+  private static RequestFingerprint fingerprint(
+      String credentials, String target, ByteBuffer... body) {
+    return head(credentials, "POST", "a.example", target).with(List.of(body));
   }
 
   @Test
@@ -39,10 +45,15 @@
     RequestFingerprint expected = fingerprint("c", "/x?a=1");
     assertThat(fingerprint("d", "/x?a=1"), is(not(expected)));
     assertThat(fingerprint("c", "/x?a=2"), is(not(expected)));
-    assertThat(
-        RequestFingerprint.of("c", "GET", "a.example", "/x?a=1", List.of()), is(not(expected)));
-    assertThat(
-        RequestFingerprint.of("c", "POST", "b.example", "/x?a=1", List.of()), is(not(expected)));
-    assertThat(RequestFingerprint.of("c", "POST", "A.Example", "/x?a=1", List.of()), is(expected));
+    assertThat(head("c", "GET", "a.example", "/x?a=1").with(List.of()), is(not(expected)));
+    assertThat(head("c", "POST", "b.example", "/x?a=1").with(List.of()), is(not(expected)));
+    assertThat(head("c", "POST", "A.Example", "/x?a=1").with(List.of()), is(expected));
+  }
+
+  @Test
+  void headDigitsAreThoseOfTheFingerprint() {
+    RequestFingerprint.Head head = head("c", "POST", "a.example", "/x");
+    assertThat(head.with(List.of(bytes("one"))).headDigits(), is(head.digits()));
+    assertThat(head.with(List.of(bytes("two"))).headDigits(), is(head.digits()));
   }
 }
