--- a/edge/src/test/java/org/cowslipstair/edge/ScriptedBackend.java
+++ b/edge/src/test/java/org/cowslipstair/edge/ScriptedBackend.java
@@ -11,6 +11,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import org.cowslipstair.model.config.HostPort;
@@ -23,12 +25,15 @@
   private static final int BACKLOG = 64;
   final List<ReceivedRequest> receivedRequests = new CopyOnWriteArrayList<>();
   final List<Long> arrivalsNs = new CopyOnWriteArrayList<>();
+  final List<Long> crashesNs = new CopyOnWriteArrayList<>();
   final List<String> unexpectedLines = new CopyOnWriteArrayList<>();
   final CountDownLatch connectionClosed = new CountDownLatch(1);
   final String id;
   volatile String load = "0,0,3,100";
   volatile String healthHeaders = "";
-  private final ServerSocket server;
+  private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+  private final int port;
+  private volatile ServerSocket server;
   private volatile Script script = Script.ok("hello");
 
   /** A request that arrived at the backend server. */
@@ -70,7 +75,23 @@
   ScriptedBackend(String id) throws IOException {
     this.id = id;
     this.server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
-    Thread.ofPlatform().daemon().start(this::accept);
+    this.port = server.getLocalPort();
+    startAccepting(server);
+  }
+
+  /** Ends like a process that crashes: all connections are closed, and new ones refused. */
+  void crash() throws IOException {
+    crashesNs.add(System.nanoTime());
+    server.close();
+    for (Socket socket : sockets) {
+      socket.close();
+    }
+  }
+
+  /** Accepts connections again after a crash. */
+  void restart() throws IOException {
+    server = new ServerSocket(port, BACKLOG, InetAddress.getLoopbackAddress());
+    startAccepting(server);
   }
 
   static String response(String id, int status, String body) {
@@ -96,18 +117,23 @@
   }
 
   HostPort address() {
-    return new HostPort("127.0.0.1", server.getLocalPort());
+    return new HostPort("127.0.0.1", port);
+  }
+
+  private void startAccepting(ServerSocket listening) {
+    Thread.ofPlatform().daemon().start(() -> accept(listening));
   }
 
-  private void accept() {
+  private void accept(ServerSocket listening) {
     int number = 0;
-    while (!server.isClosed()) {
+    while (!listening.isClosed()) {
       try {
-        Socket socket = server.accept();
+        Socket socket = listening.accept();
+        sockets.add(socket);
         int connection = number++;
         Thread.ofPlatform().daemon().start(() -> serve(socket, connection));
       } catch (IOException ignored) {
-        // The test has finished.
+        // The backend server has crashed, or the test has finished.
       }
     }
   }
@@ -153,6 +179,7 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     } finally {
+      sockets.remove(socket);
       connectionClosed.countDown();
     }
   }
