Frames between gateways: one network for several services

Permits had links of their own to other gateways. Frames are unchanged. A process of a backend server has a type of its own (BackendProcess), which was part of the permit messages. No change of behaviour.

Tests: PermitCodecTest, RateLimitFleetTest, RelayServerTest, StateSyncTest as before.

--- a/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
+++ b/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
@@ -14,6 +14,7 @@
 import org.cowslipstair.edge.log.BoundedAppender;
 import org.cowslipstair.edge.log.GatewayLog;
 import org.cowslipstair.edge.log.GatewayMetrics;
+import org.cowslipstair.edge.peer.PeerNetwork;
 import org.cowslipstair.edge.permit.PermitService;
 import org.cowslipstair.edge.relay.StateSync;
 import org.cowslipstair.edge.sync.CountingFeed;
@@ -85,6 +86,8 @@
         new ServerConnector(
             components.loop(), components.headers().requestId(), CONNECT_TIMEOUT_MS);
     this.table = new BackendTable(connector, components.clock());
+    PeerNetwork network =
+        new PeerNetwork(components.loop(), components.clock(), name -> fleet.address(name));
     this.permits =
         new PermitService(
             settings.name(),
@@ -92,9 +95,10 @@
             components.clock(),
             new RateLimitCoordinator(settings.name(), components.monitor()),
             table,
-            () -> fleet);
+            () -> fleet,
+            network);
     this.stateSync =
-        new StateSync(settings, components.with(feed), stateCache, this::applyState, permits);
+        new StateSync(settings, components.with(feed), stateCache, this::applyState, network);
     this.probeRateLimiter =
         new ProbeRateLimiter(
             settings.limits().probesPerSecond(), components.monitor(), components.clock().nowNs());
--- a/edge/src/main/java/org/cowslipstair/edge/peer/PeerFrames.java
+++ b/edge/src/main/java/org/cowslipstair/edge/peer/PeerFrames.java
@@ -17,8 +17,39 @@
 public final class PeerFrames {
   private static final int LENGTH_FIELD_BYTES = 4;
 
+  /**
+   * First byte of a ping and of its response. The frames of a service begin with larger bytes,
+   * relayed ones with smaller bytes.
+   */
+  private static final byte PING = 16;
+
+  private static final byte PONG = 17;
+
   private PeerFrames() {}
 
+  /** Returns a frame that checks that another gateway responds. */
+  static byte[] ping() {
+    return new byte[] {PING};
+  }
+
+  /** Returns the response to a ping. */
+  static byte[] pong() {
+    return new byte[] {PONG};
+  }
+
+  static boolean isPing(byte[] frame) {
+    return frame.length == 1 && frame[0] == PING;
+  }
+
+  static boolean isPong(byte[] frame) {
+    return frame.length == 1 && frame[0] == PONG;
+  }
+
+  /** Returns whether a frame relays the state of the store. */
+  static boolean isRelayed(byte[] frame) {
+    return frame.length == 0 || frame[0] < PING;
+  }
+
   /** Creates a decoder that fails on frames above a size. */
   public static ChannelHandler decoder(int maxFrameBytes) {
     return new LengthFieldBasedFrameDecoder(
--- a/edge/src/main/java/org/cowslipstair/edge/permit/PermitLink.java
+++ b/edge/src/main/java/org/cowslipstair/edge/peer/PeerLink.java
@@ -1,4 +1,4 @@
-package org.cowslipstair.edge.permit;
+package org.cowslipstair.edge.peer;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -7,19 +7,19 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import org.cowslipstair.edge.peer.PeerFrames;
 import org.cowslipstair.model.config.HostPort;
 import org.cowslipstair.port.MonotonicClock;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Connection to a gateway that issues permits. It counts as lost if a request or a ping is not
- * answered in time, since a connection can go silent without being closed. Confined to its event
- * loop.
+ * Connection to another gateway, to which this one sends frames. It counts as lost if a frame that
+ * awaits a response is not answered in time, since a connection can go silent without being closed.
+ * Confined to its event loop.
  */
-final class PermitLink {
+public final class PeerLink {
   private static final int CONNECT_TIMEOUT_MS = 300;
 
   /** The other gateway sends the state of the store if it receives no frame soon enough. */
@@ -36,7 +36,7 @@
 
   private final MonotonicClock clock;
   private final Listener listener;
-  private final List<PermitMessage> unsentMessages = new ArrayList<>();
+  private final List<byte[]> unsentFrames = new ArrayList<>();
   private @Nullable Channel channel;
   private boolean connected;
   private boolean closed;
@@ -47,14 +47,18 @@
 
   /** Receives the events of a link. */
   interface Listener {
-    /** A message arrived. */
-    void onMessage(PermitMessage message);
+    /**
+     * A frame arrived.
+     *
+     * @throws IOException if it is malformed; the link is given up then
+     */
+    void onFrame(byte[] frame) throws IOException;
 
     /** The link was closed by the other side, or the other side did not respond. */
     void onLost();
   }
 
-  PermitLink(MonotonicClock clock, Listener listener) {
+  PeerLink(MonotonicClock clock, Listener listener) {
     this.clock = clock;
     this.listener = listener;
     this.lastUsedNs = clock.nowNs();
@@ -62,7 +66,7 @@
   }
 
   void open(EventLoop loop, HostPort address) {
-    send(new PermitMessage.Ping());
+    send(PeerFrames.ping(), true);
     ChannelFuture connecting =
         PeerFrames.connect(loop, address, CONNECT_TIMEOUT_MS, MAX_FRAME_BYTES, new FrameHandler());
     channel = connecting.channel();
@@ -73,39 +77,41 @@
             return;
           }
           connected = true;
-          unsentMessages.forEach(this::write);
-          unsentMessages.clear();
+          unsentFrames.forEach(this::write);
+          unsentFrames.clear();
         });
   }
 
-  /** Sends a message, as soon as the connection is open. */
-  void send(PermitMessage message) {
+  /**
+   * Sends a frame, as soon as the connection is open.
+   *
+   * @param awaitsResponse whether the other gateway responds to it
+   */
+  public void send(byte[] frame, boolean awaitsResponse) {
     long nowNs = clock.nowNs();
     lastUsedNs = nowNs;
-    boolean hasReply =
-        message instanceof PermitMessage.Request || message instanceof PermitMessage.Ping;
-    if (hasReply && !isAwaitingFrame) {
+    if (awaitsResponse && !isAwaitingFrame) {
       isAwaitingFrame = true;
       awaitingSinceNs = nowNs;
     }
     if (connected) {
-      write(message);
+      write(frame);
     } else {
-      unsentMessages.add(message);
+      unsentFrames.add(frame);
     }
   }
 
   /** Pings the other gateway unless it has responded a moment ago or a response is awaited. */
-  void verify() {
+  public void verify() {
     if (!isAwaitingFrame && clock.nowNs() - lastFrameNs > MAX_FRAME_AGE_NS) {
-      send(new PermitMessage.Ping());
+      send(PeerFrames.ping(), true);
     }
   }
 
-  private void write(PermitMessage message) {
+  private void write(byte[] frame) {
     Channel opened = channel;
     if (opened != null && !closed) {
-      opened.writeAndFlush(Unpooled.wrappedBuffer(PermitCodec.encode(message)));
+      opened.writeAndFlush(Unpooled.wrappedBuffer(frame));
     }
   }
 
@@ -142,17 +148,15 @@
 
   private final class FrameHandler extends SimpleChannelInboundHandler<ByteBuf> {
     @Override
-    protected void channelRead0(ChannelHandlerContext context, ByteBuf frame)
-        throws MalformedPermitMessageException {
+    protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) throws IOException {
       byte[] bytes = new byte[frame.readableBytes()];
       frame.readBytes(bytes);
-      if (closed || !PermitCodec.isPermitMessage(bytes)) {
+      if (closed || PeerFrames.isRelayed(bytes)) {
         return;
       }
-      PermitMessage message = PermitCodec.decode(bytes);
       isAwaitingFrame = false;
       lastFrameNs = clock.nowNs();
-      listener.onMessage(message);
+      listener.onFrame(bytes);
     }
 
     @Override
--- a/edge/src/main/java/org/cowslipstair/edge/permit/PermitLinks.java
+++ b/edge/src/main/java/org/cowslipstair/edge/peer/PeerNetwork.java
@@ -1,6 +1,8 @@
-package org.cowslipstair.edge.permit;
+package org.cowslipstair.edge.peer;
 
 import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -8,16 +10,15 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.Function;
 import org.cowslipstair.model.config.HostPort;
 import org.cowslipstair.port.MonotonicClock;
 
 /**
- * Links to the gateways that issue permits, opened when they are needed. Knows which gateways have
- * been found unreachable. Confined to its event loop.
+ * Exchanges frames with the other gateways for several services. Links are opened when they are
+ * needed; knows which gateways have been found unreachable. Confined to its event loop.
  */
-final class PermitLinks {
+public final class PeerNetwork implements PeerFrameHandler {
   /** Time between attempts to reach an unreachable gateway. */
   private static final long RECONNECT_DELAY_NS = 1_000_000_000L;
 
@@ -26,48 +27,78 @@
   private final EventLoop loop;
   private final MonotonicClock clock;
   private final Function<String, Optional<HostPort>> addresses;
-  private final Consumer<PermitMessage> onMessage;
-  private final Map<String, PermitLink> links = new HashMap<>();
+  private final List<Service> services = new ArrayList<>();
+  private final Map<String, PeerLink> links = new HashMap<>();
   private final Map<String, Long> reconnectAtNs = new HashMap<>();
   private final Set<String> unreachableGateways = new HashSet<>();
   private boolean isCheckScheduled;
 
+  /** A service that exchanges frames with the same service of other gateways. */
+  public interface Service {
+    /** Returns whether a frame belongs to this service. */
+    boolean owns(byte[] frame);
+
+    /**
+     * Returns the response to the frame of another gateway; empty if there is none.
+     *
+     * @throws IOException if the frame is malformed; the connection is closed then
+     */
+    Optional<byte[]> onFrame(byte[] frame) throws IOException;
+
+    /**
+     * Handles a response of another gateway.
+     *
+     * @throws IOException if the frame is malformed; the link is given up then
+     */
+    void onResponse(String gateway, byte[] frame) throws IOException;
+  }
+
   /**
-   * Creates links that are not open.
+   * Creates a network without links.
    *
    * @param addresses returns the address of a gateway; empty if it is unknown
-   * @param onMessage receives the messages of all links
    */
-  PermitLinks(
-      EventLoop loop,
-      MonotonicClock clock,
-      Function<String, Optional<HostPort>> addresses,
-      Consumer<PermitMessage> onMessage) {
+  public PeerNetwork(
+      EventLoop loop, MonotonicClock clock, Function<String, Optional<HostPort>> addresses) {
     this.loop = loop;
     this.clock = clock;
     this.addresses = addresses;
-    this.onMessage = onMessage;
+  }
+
+  /** Adds a service. */
+  public void register(Service service) {
+    services.add(service);
+  }
+
+  @Override
+  public Optional<byte[]> onFrame(byte[] frame) throws IOException {
+    if (PeerFrames.isPing(frame)) {
+      return Optional.of(PeerFrames.pong());
+    }
+    return service(frame).onFrame(frame);
+  }
+
+  private Service service(byte[] frame) throws IOException {
+    return services.stream()
+        .filter(service -> service.owns(frame))
+        .findFirst()
+        .orElseThrow(() -> new IOException("frame of an unknown service"));
   }
 
   /**
    * Returns whether a gateway has been found unreachable and has not responded since. One that has
    * not been tried is not unreachable.
    */
-  boolean isUnreachable(String gateway) {
+  public boolean isUnreachable(String gateway) {
     return unreachableGateways.contains(gateway);
   }
 
-  /** Returns the link to a gateway; empty if it is not open. */
-  Optional<PermitLink> find(String gateway) {
-    return Optional.ofNullable(links.get(gateway));
-  }
-
   /**
    * Returns the link to a gateway and opens it if necessary; empty if its address is unknown or it
    * is too early to try again.
    */
-  Optional<PermitLink> open(String gateway) {
-    PermitLink existing = links.get(gateway);
+  public Optional<PeerLink> open(String gateway) {
+    PeerLink existing = links.get(gateway);
     if (existing != null) {
       return Optional.of(existing);
     }
@@ -76,14 +107,16 @@
     if (address.isEmpty() || nowNs - reconnectAtNs.getOrDefault(gateway, nowNs) < 0) {
       return Optional.empty();
     }
-    PermitLink link =
-        new PermitLink(
+    PeerLink link =
+        new PeerLink(
             clock,
-            new PermitLink.Listener() {
+            new PeerLink.Listener() {
               @Override
-              public void onMessage(PermitMessage message) {
+              public void onFrame(byte[] frame) throws IOException {
                 unreachableGateways.remove(gateway);
-                onMessage.accept(message);
+                if (!PeerFrames.isPong(frame)) {
+                  service(frame).onResponse(gateway, frame);
+                }
               }
 
               @Override
@@ -109,7 +142,7 @@
   private void checkAll() {
     isCheckScheduled = false;
     long nowNs = clock.nowNs();
-    for (Map.Entry<String, PermitLink> entry : List.copyOf(links.entrySet())) {
+    for (Map.Entry<String, PeerLink> entry : List.copyOf(links.entrySet())) {
       if (!entry.getValue().check(nowNs)) {
         links.remove(entry.getKey());
       }
--- a/edge/src/main/java/org/cowslipstair/edge/permit/PermitCodec.java
+++ b/edge/src/main/java/org/cowslipstair/edge/permit/PermitCodec.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.Optional;
 import org.cowslipstair.model.config.BackendName;
+import org.cowslipstair.model.traffic.BackendProcess;
 import org.cowslipstair.model.traffic.RateLimit;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -13,8 +14,6 @@
  * relay messages, which are smaller, because both arrive at the same port.
  */
 final class PermitCodec {
-  private static final int PING = 16;
-  private static final int PONG = 17;
   private static final int REQUEST = 18;
   private static final int REPLY = 19;
   private static final int REPORT = 20;
@@ -27,14 +26,12 @@
 
   /** Returns whether a frame is a message about permits. */
   static boolean isPermitMessage(byte[] bytes) {
-    return bytes.length > 0 && bytes[0] >= PING;
+    return bytes.length > 0 && bytes[0] >= REQUEST && bytes[0] <= REPORT;
   }
 
   static byte[] encode(PermitMessage message) {
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
       switch (message) {
-        case PermitMessage.Ping _ -> packer.packInt(PING);
-        case PermitMessage.Pong _ -> packer.packInt(PONG);
         case PermitMessage.Request(long id, var backend, int requests, var observed) -> {
           packer.packInt(REQUEST).packLong(id).packInt(requests);
           packBackend(packer, backend);
@@ -61,8 +58,6 @@
     try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
       int type = unpacker.unpackInt();
       return switch (type) {
-        case PING -> new PermitMessage.Ping();
-        case PONG -> new PermitMessage.Pong();
         case REQUEST -> unpackRequest(unpacker);
         case REPLY ->
             new PermitMessage.Reply(
@@ -86,14 +81,13 @@
         id, unpackBackend(unpacker), requests, unpackObserved(unpacker));
   }
 
-  private static void packBackend(MessageBufferPacker packer, PermitMessage.Backend backend)
+  private static void packBackend(MessageBufferPacker packer, BackendProcess backend)
       throws IOException {
     packer.packString(backend.name().value()).packLong(backend.startedUnixMs());
   }
 
-  private static PermitMessage.Backend unpackBackend(MessageUnpacker unpacker) throws IOException {
-    return new PermitMessage.Backend(
-        new BackendName(unpacker.unpackString()), unpacker.unpackLong());
+  private static BackendProcess unpackBackend(MessageUnpacker unpacker) throws IOException {
+    return new BackendProcess(new BackendName(unpacker.unpackString()), unpacker.unpackLong());
   }
 
   private static void packVerdict(MessageBufferPacker packer, PermitMessage.Verdict verdict)
--- a/edge/src/main/java/org/cowslipstair/edge/permit/PermitMessage.java
+++ b/edge/src/main/java/org/cowslipstair/edge/permit/PermitMessage.java
@@ -1,17 +1,11 @@
 package org.cowslipstair.edge.permit;
 
 import java.util.Optional;
-import org.cowslipstair.model.config.BackendName;
+import org.cowslipstair.model.traffic.BackendProcess;
 import org.cowslipstair.model.traffic.RateLimit;
 
 /** Message between a gateway and the one that issues the permits of a backend server. */
 sealed interface PermitMessage {
-  /** Checks that the other gateway responds. */
-  record Ping() implements PermitMessage {}
-
-  /** Response to a ping. */
-  record Pong() implements PermitMessage {}
-
   /**
    * Requests a permit.
    *
@@ -19,7 +13,7 @@
    * @param requests number of requests that the permit is for, probes included: 1 or 2; 0 to learn
    *     only whether the receiver issues permits
    */
-  record Request(long id, Backend backend, int requests, Optional<Observed> observed)
+  record Request(long id, BackendProcess backend, int requests, Optional<Observed> observed)
       implements PermitMessage {
     /** Validates the number. */
     public Request {
@@ -33,10 +27,7 @@
   record Reply(long id, Verdict verdict, Optional<Observed> observed) implements PermitMessage {}
 
   /** Reports a change of a rate limit. */
-  record Report(Backend backend, Observed observed) implements PermitMessage {}
-
-  /** One process of a backend server. */
-  record Backend(BackendName name, long startedUnixMs) {}
+  record Report(BackendProcess backend, Observed observed) implements PermitMessage {}
 
   /**
    * Newest observation of the sender.
--- a/edge/src/main/java/org/cowslipstair/edge/permit/PermitService.java
+++ b/edge/src/main/java/org/cowslipstair/edge/permit/PermitService.java
@@ -14,11 +14,12 @@
 import java.util.function.Supplier;
 import org.cowslipstair.edge.backend.BackendEntry;
 import org.cowslipstair.edge.backend.BackendTable;
-import org.cowslipstair.edge.relay.RelayServer;
-import org.cowslipstair.logic.placement.BackendStats;
+import org.cowslipstair.edge.peer.PeerLink;
+import org.cowslipstair.edge.peer.PeerNetwork;
 import org.cowslipstair.logic.ratelimit.RateLimitCoordinator;
 import org.cowslipstair.model.config.BackendName;
 import org.cowslipstair.model.config.HostPort;
+import org.cowslipstair.model.traffic.BackendProcess;
 import org.cowslipstair.model.traffic.GatewayEntry;
 import org.cowslipstair.model.traffic.RateLimitObservation;
 import org.cowslipstair.port.MonotonicClock;
@@ -28,7 +29,7 @@
  * one that issues them, and responds to the requests of other gateways. Used on the event loop
  * only.
  */
-public final class PermitService implements RelayServer.FrameHandler {
+public final class PermitService implements PeerNetwork.Service {
   /**
    * Time from the request for a permit in which it may be used and a reply is awaited. Permits are
    * spaced when they are issued; a longer time lets requests bunch up.
@@ -50,7 +51,7 @@
   private final RateLimitCoordinator coordinator;
   private final BackendTable table;
   private final Supplier<Fleet> fleet;
-  private final PermitLinks links;
+  private final PeerNetwork network;
   private final Set<BackendName> announcedLimits = new HashSet<>();
   private final Map<Long, PendingRequest> pendingRequests = new HashMap<>();
   private long lastRequestId;
@@ -61,7 +62,8 @@
    * @param names names of the gateways; the same list as long as nothing has changed
    */
   public record Fleet(List<GatewayEntry> gateways, List<String> names) {
-    Optional<HostPort> address(String name) {
+    /** Returns the address of a gateway; empty if it is unknown. */
+    public Optional<HostPort> address(String name) {
       return gateways.stream()
           .filter(gateway -> gateway.name().equals(name))
           .map(GatewayEntry::relayAddress)
@@ -98,14 +100,16 @@
       MonotonicClock clock,
       RateLimitCoordinator coordinator,
       BackendTable table,
-      Supplier<Fleet> fleet) {
+      Supplier<Fleet> fleet,
+      PeerNetwork network) {
     this.self = self;
     this.loop = loop;
     this.clock = clock;
     this.coordinator = coordinator;
     this.table = table;
     this.fleet = fleet;
-    this.links = new PermitLinks(loop, clock, name -> fleet.get().address(name), this::onMessage);
+    this.network = network;
+    network.register(this);
   }
 
   /**
@@ -138,7 +142,7 @@
 
   /** Returns the gateway that issues the permits of a backend server; empty if unknown. */
   public Optional<String> issuer(BackendEntry entry) {
-    return coordinator.issuer(name(entry), fleet.get().names(), links::isUnreachable);
+    return coordinator.issuer(name(entry), fleet.get().names(), network::isUnreachable);
   }
 
   /** Returns the number of permits issued by this gateway. */
@@ -174,9 +178,10 @@
 
   private void report(BackendEntry entry, String gateway) {
     Optional<PermitMessage.Observed> observed = observed(entry);
-    Optional<PermitLink> link = links.open(gateway);
+    Optional<PeerLink> link = network.open(gateway);
     if (link.isPresent() && observed.isPresent()) {
-      link.get().send(new PermitMessage.Report(backend(entry), observed.get()));
+      PermitMessage report = new PermitMessage.Report(backend(entry), observed.get());
+      link.get().send(PermitCodec.encode(report), false);
     }
   }
 
@@ -190,7 +195,7 @@
       BackendEntry entry,
       int requests,
       Consumer<RateLimitCoordinator.Response> onResponse) {
-    Optional<PermitLink> link = links.open(gateway);
+    Optional<PeerLink> link = network.open(gateway);
     if (link.isEmpty()) {
       onResponse.accept(NO_RESPONSE);
       return;
@@ -200,7 +205,9 @@
     ScheduledFuture<?> timeoutTimer =
         loop.schedule(() -> onTimeout(id), VALIDITY_MS, TimeUnit.MILLISECONDS);
     pendingRequests.put(id, new PendingRequest(gateway, entry, onResponse, timeoutTimer));
-    link.get().send(new PermitMessage.Request(id, backend(entry), requests, observed(entry)));
+    PermitMessage request =
+        new PermitMessage.Request(id, backend(entry), requests, observed(entry));
+    link.get().send(PermitCodec.encode(request), true);
   }
 
   private void onTimeout(long id) {
@@ -210,7 +217,14 @@
     }
   }
 
-  private void onMessage(PermitMessage message) {
+  @Override
+  public boolean owns(byte[] frame) {
+    return PermitCodec.isPermitMessage(frame);
+  }
+
+  @Override
+  public void onResponse(String gateway, byte[] frame) throws IOException {
+    PermitMessage message = PermitCodec.decode(frame);
     if (!(message instanceof PermitMessage.Reply(long id, var verdict, var observed))) {
       return;
     }
@@ -255,13 +269,12 @@
   public Optional<byte[]> onFrame(byte[] frame) throws IOException {
     Optional<PermitMessage> reply =
         switch (PermitCodec.decode(frame)) {
-          case PermitMessage.Ping _ -> Optional.of(new PermitMessage.Pong());
           case PermitMessage.Request request -> Optional.of(reply(request));
           case PermitMessage.Report(var backend, var observed) -> {
             find(backend).ifPresent(entry -> onReport(entry, observed));
             yield Optional.empty();
           }
-          case PermitMessage.Pong _, PermitMessage.Reply _ ->
+          case PermitMessage.Reply _ ->
               throw new MalformedPermitMessageException("reply without a request");
         };
     return reply.map(PermitCodec::encode);
@@ -284,7 +297,7 @@
               new PermitMessage.Verdict.Denied(availableInNs / NS_PER_MS);
           case RateLimitCoordinator.Response.NotIssuer(var issuer) -> {
             // A link shows whether the issuer is unreachable, so that this gateway must stand in.
-            issuer.flatMap(links::open).ifPresent(PermitLink::verify);
+            issuer.flatMap(network::open).ifPresent(PeerLink::verify);
             yield new PermitMessage.Verdict.NotIssuer();
           }
         };
@@ -294,8 +307,8 @@
   /** Tries to reach the gateways again that would issue the permits in place of the issuer. */
   private void reconnectSkipped(BackendEntry entry) {
     coordinator
-        .skipped(name(entry), fleet.get().names(), links::isUnreachable)
-        .forEach(links::open);
+        .skipped(name(entry), fleet.get().names(), network::isUnreachable)
+        .forEach(network::open);
   }
 
   private RateLimitCoordinator.Response respond(BackendEntry entry, int requests, long nowNs) {
@@ -305,11 +318,11 @@
     }
     if (entry.stats().rateLimit().isPresent()) {
       coordinator
-          .unconfirmed(name(entry), gateways, links::isUnreachable)
+          .unconfirmed(name(entry), gateways, network::isUnreachable)
           .forEach(gateway -> requestConfirmation(gateway, entry));
     }
     return coordinator.respond(
-        name(entry), entry.stats().rateLimit(), requests, gateways, links::isUnreachable, nowNs);
+        name(entry), entry.stats().rateLimit(), requests, gateways, network::isUnreachable, nowNs);
   }
 
   /** Asks another gateway whether it issues permits; it confirms this one if it does not. */
@@ -354,15 +367,12 @@
                     observation.limit(), (nowNs - observation.observedNs()) / NS_PER_MS));
   }
 
-  private Optional<BackendEntry> find(PermitMessage.Backend backend) {
-    return table
-        .find(backend.name())
-        .filter(entry -> entry.stats().instance().startedUnixMs() == backend.startedUnixMs());
+  private Optional<BackendEntry> find(BackendProcess backend) {
+    return table.find(backend.name()).filter(entry -> backend(entry).equals(backend));
   }
 
-  private static PermitMessage.Backend backend(BackendEntry entry) {
-    BackendStats stats = entry.stats();
-    return new PermitMessage.Backend(stats.instance().name(), stats.instance().startedUnixMs());
+  private static BackendProcess backend(BackendEntry entry) {
+    return entry.stats().instance().process();
   }
 
   private static BackendName name(BackendEntry entry) {
--- a/edge/src/main/java/org/cowslipstair/edge/relay/RelayServer.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/RelayServer.java
@@ -15,10 +15,10 @@
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.cowslipstair.edge.peer.PeerFrameHandler;
 import org.cowslipstair.edge.peer.PeerFrames;
 import org.cowslipstair.model.config.HostPort;
 import org.cowslipstair.port.MonotonicClock;
@@ -39,19 +39,9 @@
 
   private final RelayCodec codec;
   private final Supplier<List<RelayMessage>> initialMessages;
-  private final FrameHandler frameHandler;
+  private final PeerFrameHandler frameHandler;
   private final Set<Channel> subscribers = new HashSet<>();
 
-  /** Responds to frames of other gateways. */
-  public interface FrameHandler {
-    /**
-     * Returns the response to a frame; empty if there is none.
-     *
-     * @throws IOException if the frame is malformed; the connection is closed then
-     */
-    Optional<byte[]> onFrame(byte[] frame) throws IOException;
-  }
-
   /**
    * Creates a server.
    *
@@ -61,7 +51,7 @@
   RelayServer(
       MonotonicClock clock,
       Supplier<List<RelayMessage>> initialMessages,
-      FrameHandler frameHandler) {
+      PeerFrameHandler frameHandler) {
     this.codec = new RelayCodec(clock);
     this.initialMessages = initialMessages;
     this.frameHandler = frameHandler;
--- a/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import org.cowslipstair.edge.FrontSettings;
 import org.cowslipstair.edge.GatewayComponents;
+import org.cowslipstair.edge.peer.PeerFrameHandler;
 import org.cowslipstair.edge.sync.StoreWatch;
 import org.cowslipstair.logic.traffic.OutageTracker;
 import org.cowslipstair.logic.traffic.TrafficStateCache;
@@ -94,7 +95,7 @@
       GatewayComponents components,
       TrafficStateCache stateCache,
       Runnable onChange,
-      RelayServer.FrameHandler frameHandler) {
+      PeerFrameHandler frameHandler) {
     this.settings = settings;
     this.components = components;
     this.scheduler = Schedulers.from(components.loop());
--- a/edge/src/test/java/org/cowslipstair/edge/permit/PermitCodecTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/permit/PermitCodecTest.java
@@ -8,14 +8,15 @@
 import java.util.Random;
 import java.util.stream.Stream;
 import org.cowslipstair.model.config.BackendName;
+import org.cowslipstair.model.traffic.BackendProcess;
 import org.cowslipstair.model.traffic.RateLimit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
 final class PermitCodecTest {
-  private static final PermitMessage.Backend BACKEND =
-      new PermitMessage.Backend(new BackendName("b-1"), 1_700_000_000_000L);
+  private static final BackendProcess BACKEND =
+      new BackendProcess(new BackendName("b-1"), 1_700_000_000_000L);
 
   private static Stream<PermitMessage> messages() {
     Optional<PermitMessage.Observed> limited =
@@ -23,8 +24,6 @@
     Optional<PermitMessage.Observed> unlimited =
         Optional.of(new PermitMessage.Observed(Optional.empty(), 3));
     return Stream.of(
-        new PermitMessage.Ping(),
-        new PermitMessage.Pong(),
         new PermitMessage.Request(7, BACKEND, 2, limited),
         new PermitMessage.Request(8, BACKEND, 1, Optional.empty()),
         new PermitMessage.Reply(7, new PermitMessage.Verdict.Granted(), limited),
--- a/lib/src/main/java/org/cowslipstair/model/traffic/BackendInstance.java
+++ b/lib/src/main/java/org/cowslipstair/model/traffic/BackendInstance.java
@@ -26,6 +26,11 @@
     long coldUntilNs,
     long startedUnixMs,
     long sequence) {
+  /** Returns the process that reported. */
+  public BackendProcess process() {
+    return new BackendProcess(name, startedUnixMs);
+  }
+
   /** Returns whether both are the same process at the same address. */
   public boolean isSameProcess(BackendInstance other) {
     return name.equals(other.name)
