List and release requests that are held back: command quarantine, POST /quarantine/release

Operators had the state dump only, and nothing let a request pass again before its trial once the servers were mended. Any gateway takes the release at its ready address and tells the others like a clearance. A fingerprint that is not suspected is answered 404.

--- a/cli/src/main/java/org/cowslipstair/cli/Cli.java
+++ b/cli/src/main/java/org/cowslipstair/cli/Cli.java
@@ -42,6 +42,7 @@
     commands.put("explain-log", new ExplainLogCommand());
     commands.put("audit-log", new AuditLogCommand());
     commands.put("crash-log", new CrashLogCommand());
+    commands.put("quarantine", new QuarantineCommand());
     commands.put("store", new StoreCommand());
     return commands;
   }
--- a/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
+++ b/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
@@ -4,6 +4,7 @@
 import java.nio.channels.ServerSocketChannel;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.cowslipstair.edge.backend.BackendTable;
 import org.cowslipstair.edge.backend.Prober;
@@ -27,6 +28,7 @@
 import org.cowslipstair.logic.ratelimit.RateLimitCoordinator;
 import org.cowslipstair.logic.traffic.TrafficStateCache;
 import org.cowslipstair.model.traffic.GatewayEntry;
+import org.cowslipstair.model.traffic.RequestFingerprint;
 import org.cowslipstair.model.traffic.TrafficState;
 import org.cowslipstair.port.ObjectFeed;
 import org.cowslipstair.port.ObjectFeed.Collection;
@@ -60,6 +62,9 @@
    */
   private static final long MAX_CONFIGURATION_WAIT_MS = 300;
 
+  /** Start of the path at which an operator releases a request that is held back. */
+  private static final String RELEASE_PATH = "/quarantine/release/";
+
   private static final long STOP_POLL_MS = 50;
   private static final long NS_PER_MS = 1_000_000L;
 
@@ -174,14 +179,22 @@
         StatusServer.open(
             loop,
             settings.readyAddress(),
-            Map.of(
-                "/readyz", () -> new StatusServer.Page(isReady(), ""),
-                "/metrics", () -> new StatusServer.Page(true, metrics(log.metrics())),
-                "/state", () -> new StatusServer.Page(true, stateJson())));
+            new StatusServer.Content(
+                Map.of(
+                    "/readyz", () -> new StatusServer.Page(isReady(), ""),
+                    "/metrics", () -> new StatusServer.Page(true, metrics(log.metrics())),
+                    "/state", () -> new StatusServer.Page(true, stateJson())),
+                Map.of(RELEASE_PATH, this::releaseRequest)));
     callerServer = CallerServer.open(loop, socket, callerContext);
     loop.schedule(callerServer::startAccepting, MAX_CONFIGURATION_WAIT_MS, TimeUnit.MILLISECONDS);
   }
 
+  private Optional<StatusServer.Page> releaseRequest(String digits) {
+    return RequestFingerprint.parse(digits)
+        .filter(quarantine::clear)
+        .map(_ -> new StatusServer.Page(true, ""));
+  }
+
   private String stateJson() {
     return new StateDump(stateCache, table, stateSync, permits, quarantine)
         .json(settings, isReady(), callerContext.connectionCount(), components.clock().nowNs());
--- a/edge/src/main/java/org/cowslipstair/edge/StatusServer.java
+++ b/edge/src/main/java/org/cowslipstair/edge/StatusServer.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -23,6 +24,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.cowslipstair.model.config.HostPort;
 
@@ -42,12 +45,33 @@
   public record Page(boolean available, String text) {}
 
   /**
-   * Binds the address and starts to serve.
+   * Everything that is served.
    *
-   * @param pages pages by path
+   * @param pages pages by path, for GET
+   * @param actions actions by the start of their path, for POST; each gets the rest of the path and
+   *     returns empty if what it names does not exist
    */
-  public static StatusServer open(
-      EventLoop loop, HostPort address, Map<String, Supplier<Page>> pages)
+  public record Content(
+      Map<String, Supplier<Page>> pages, Map<String, Function<String, Optional<Page>>> actions) {
+    /** Copies the maps. */
+    public Content {
+      pages = Map.copyOf(pages);
+      actions = Map.copyOf(actions);
+    }
+
+    private Optional<Page> respond(HttpMethod method, String path) {
+      if (!method.equals(HttpMethod.POST)) {
+        return Optional.ofNullable(pages.get(path)).map(Supplier::get);
+      }
+      return actions.entrySet().stream()
+          .filter(action -> path.startsWith(action.getKey()))
+          .findFirst()
+          .flatMap(action -> action.getValue().apply(path.substring(action.getKey().length())));
+    }
+  }
+
+  /** Binds the address and starts to serve. */
+  public static StatusServer open(EventLoop loop, HostPort address, Content content)
       throws InterruptedException {
     ServerBootstrap bootstrap =
         new ServerBootstrap()
@@ -58,7 +82,7 @@
                 new ChannelInitializer<SocketChannel>() {
                   @Override
                   protected void initChannel(SocketChannel accepted) {
-                    accepted.pipeline().addLast(new HttpServerCodec(), new Handler(pages));
+                    accepted.pipeline().addLast(new HttpServerCodec(), new Handler(content));
                   }
                 });
     InetSocketAddress local = new InetSocketAddress(address.host(), address.port());
@@ -71,32 +95,29 @@
   }
 
   private static final class Handler extends SimpleChannelInboundHandler<HttpObject> {
-    private final Map<String, Supplier<Page>> pages;
+    private final Content content;
 
-    Handler(Map<String, Supplier<Page>> pages) {
-      this.pages = pages;
+    Handler(Content content) {
+      this.content = content;
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject object) {
-      if (object instanceof HttpContent content && content.content().isReadable()) {
+      if (object instanceof HttpContent body && body.content().isReadable()) {
         context.close();
         return;
       }
       if (!(object instanceof HttpRequest request)) {
         return;
       }
-      Supplier<Page> supplier = pages.get(request.uri());
-      Page page = supplier == null ? new Page(false, "") : supplier.get();
-      HttpResponseStatus status =
-          supplier == null
-              ? HttpResponseStatus.NOT_FOUND
-              : page.available() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
+      Optional<Page> page = content.respond(request.method(), request.uri());
+      HttpResponseStatus status = page.map(Handler::status).orElse(HttpResponseStatus.NOT_FOUND);
       DefaultFullHttpResponse response =
           new DefaultFullHttpResponse(
               HttpVersion.HTTP_1_1,
               status,
-              ByteBufUtil.writeUtf8(UnpooledByteBufAllocator.DEFAULT, page.text()));
+              ByteBufUtil.writeUtf8(
+                  UnpooledByteBufAllocator.DEFAULT, page.map(Page::text).orElse("")));
       response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
       boolean keepAlive = HttpUtil.isKeepAlive(request);
       HttpUtil.setKeepAlive(response, keepAlive);
@@ -106,6 +127,10 @@
       }
     }
 
+    private static HttpResponseStatus status(Page page) {
+      return page.available() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
       context.close();
--- a/edge/src/test/java/org/cowslipstair/edge/QuarantineFleetTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/QuarantineFleetTest.java
@@ -6,9 +6,12 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.Socket;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
@@ -16,6 +19,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.StreamSupport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -85,6 +89,38 @@
     assertHeldBack();
   }
 
+  /** An operator releases a request that is held back; every gateway knows. */
+  @Test
+  void operatorReleasesARequestOnAllGateways()
+      throws IOException, InterruptedException, ExecutionException {
+    startFleet();
+    callAllGateways(id -> RawClient.get("/safe/deadly?page=1", id));
+    JsonNode suspect = deadlySuspect(1);
+    assertThat(suspect.path("heldBack").asBoolean(), is(true));
+    String path = "/quarantine/release/" + suspect.path("fingerprint").asText();
+    assertThat(operatorRequest(0, "POST", path).status(), is(200));
+    assertThat(operatorRequest(0, "POST", path + "0").status(), is(404));
+    TimeUnit.NANOSECONDS.sleep(NS_PER_SECOND);
+    for (int i = 0; i < GATEWAYS; i++) {
+      assertThat(deadlySuspect(i).path("crashes").asInt(), is(0));
+    }
+  }
+
+  /** Returns what a gateway knows of the request under which most servers crashed. */
+  private JsonNode deadlySuspect(int gateway) throws IOException {
+    JsonNode state = new ObjectMapper().readTree(operatorRequest(gateway, "GET", "/state").body());
+    return StreamSupport.stream(state.path("suspectedRequests").spliterator(), false)
+        .max(Comparator.comparingInt(suspect -> suspect.path("ranOn").size()))
+        .orElseThrow();
+  }
+
+  private RawClient.Response operatorRequest(int gateway, String method, String path)
+      throws IOException {
+    try (RawClient client = new RawClient(fixture.gateways.get(gateway).readyPort())) {
+      return client.send("%s %s HTTP/1.1\r\nHost: g\r\n\r\n".formatted(method, path));
+    }
+  }
+
   /** Incident 6: the same for a request that must not be repeated, recognized by its body. */
   @Test
   void unsafeRequestThatCrashesItsServersIsHeldBackByTheWholeFleet()
--- a/lib/src/main/java/org/cowslipstair/model/traffic/RequestFingerprint.java
+++ b/lib/src/main/java/org/cowslipstair/model/traffic/RequestFingerprint.java
@@ -4,8 +4,10 @@
 import com.google.common.hash.Hashing;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 
 /**
  * Identifies a request by its caller, method, host, target and body, so that it is recognized when
@@ -28,6 +30,14 @@
     }
   }
 
+  /** Parses the digits; empty if they are none of a fingerprint. */
+  public static Optional<RequestFingerprint> parse(String text) {
+    boolean isValid = text.length() == DIGITS && text.chars().allMatch(HexFormat::isHexDigit);
+    return isValid
+        ? Optional.of(new RequestFingerprint(text.toLowerCase(Locale.ROOT)))
+        : Optional.empty();
+  }
+
   /** Returns the digits that do not depend on the body. */
   public String headDigits() {
     return hex.substring(0, HEAD_DIGITS);
