Do not take a copy of an earlier refusal for the refusal of the request that runs

Reported by other operators: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told "not run" for what had run. Here a copy with the id of the earlier request, or none, or in the same read, was skipped already. Two cases were not:

RefusalCopyTest.copyIsNoProofThatARequestWithTheSameIdDidNotRun: 503 although the server had run it (a caller that uses an id twice) RefusalCopyTest.copyIsNoProofThatARequestWithoutAnIdDidNotRun: 503 although the server had run it

Cause: the response was told apart by its id only, and "not run" was believed of whatever has the expected id, or none. A gateway itself never sends a request to the same server twice (CallOutcomesTest), so the first case needs a caller that uses an id again.

A connection remembers the ids of the requests that were refused on it. A refusal of such an id, or without an id, proves nothing: the caller gets 502 "may have run", the request is not sent elsewhere unless it is repeatable, and the connection is closed. After 64 refusals a connection is not used again. Ruled out: closing each connection after a refusal, since connections are dear when servers are full.

Tests: RefusalCopyTest (two of five failed before), ResponseIntegrityTest, CallOutcomesTest, PipeliningTest, RateLimitFleetTest.

--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Attempt.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Attempt.java
@@ -183,13 +183,19 @@
       return;
     }
     markFinished();
+    boolean isRefusal = !streaming && isNotExecuted(responseHead);
+    boolean isProvenRefusal = isRefusal && connection.recordRefusal();
     context.table().release(entry, connection);
     if (streaming) {
       body.release();
       listener.onAttemptEnded(this, new Result.StreamCompleted());
-    } else if (isNotExecuted(responseHead)) {
+    } else if (isProvenRefusal) {
       body.release();
       listener.onAttemptEnded(this, new Result.NotExecuted(responseHead.status().code()));
+    } else if (isRefusal) {
+      body.release();
+      listener.onAttemptEnded(
+          this, new Result.Failed(MayHaveRunReason.ANSWER_MALFORMED, "refusal may be a copy"));
     } else if (responseHead.status().codeClass() == HttpStatusClass.SUCCESS
         && !isSignedSuccess(responseHead)) {
       body.release();
--- a/edge/src/main/java/org/cowslipstair/edge/http/ServerConnection.java
+++ b/edge/src/main/java/org/cowslipstair/edge/http/ServerConnection.java
@@ -15,7 +15,9 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -27,10 +29,14 @@
   private static final int MS_PER_SECOND = 1_000;
   private static final String KEEP_ALIVE_HEADER = "Keep-Alive";
 
+  /** Maximum number of refused requests that are remembered; then the connection is not reused. */
+  private static final int MAX_REFUSED_REQUESTS = 64;
+
   private final String requestIdHeader;
   private final Runnable onClosed;
   private @Nullable Channel channel;
   private @Nullable ResponseListener listener;
+  private final Set<String> refusedRequestIds = new HashSet<>();
   private Optional<String> expectedRequestId = Optional.empty();
   private @Nullable ChannelFuture requestWrite;
   private boolean headReceived;
@@ -63,6 +69,7 @@
     return isIdle()
         && !hasUnexpectedResponse
         && !closesAfterResponse
+        && refusedRequestIds.size() < MAX_REFUSED_REQUESTS
         && (requestWrite == null || requestWrite.isDone())
         && channel != null
         && channel.isActive();
@@ -113,6 +120,20 @@
     requestWrite = channel.writeAndFlush(last);
   }
 
+  /**
+   * Records that the last response says that the server did not run its request. A server can write
+   * an earlier refusal once more, so it proves that only if no earlier refusal can look the same.
+   *
+   * @return whether it is a proof; if not, the connection is closed
+   */
+  public boolean recordRefusal() {
+    boolean isProof = expectedRequestId.filter(refusedRequestIds::add).isPresent();
+    if (!isProof) {
+      close();
+    }
+    return isProof;
+  }
+
   /** Pauses or resumes reading, to apply the backpressure of a slow caller to its server. */
   public void setAutoRead(boolean isAutoRead) {
     if (channel != null) {
