--- a/adapters/src/main/java/org/cowslipstair/adapters/http/BackendSocket.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/http/BackendSocket.java
@@ -12,6 +12,9 @@
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * A client socket that knows whether it is still fresh, and how many bytes passed through it.
@@ -20,10 +23,14 @@
  * idle one, and so that interrupting a blocked thread closes the connection.
  */
 final class BackendSocket extends Socket {
+  private static final int MAX_REFUSED_IDS = 64;
+
   private final SocketChannel channel;
   private final Socket adaptor;
+  private final Set<String> refusedIds = ConcurrentHashMap.newKeySet();
   private volatile long bytesWritten;
   private volatile long reads;
+  private volatile boolean retired;
 
   BackendSocket() throws IOException {
     channel = SocketChannel.open();
@@ -41,11 +48,31 @@
     return reads;
   }
 
+  /**
+   * Records that the peer says that it did not run a call. It can write an earlier refusal once
+   * more, so a refusal proves that only if no earlier one on this connection can look the same.
+   *
+   * @param id id of the call that the refusal shows; after one that shows none, the connection is
+   *     not used again
+   * @return whether it is a proof
+   */
+  boolean recordRefusal(Optional<String> id) {
+    if (id.isPresent()) {
+      retired = refusedIds.size() >= MAX_REFUSED_IDS;
+      return refusedIds.add(id.get());
+    }
+    retired = true;
+    return refusedIds.isEmpty();
+  }
+
   /**
    * Returns whether the connection is open and silent, as it must be before a request is sent. A
    * peer that closed it or sent bytes that no request asked for makes it unusable.
    */
   boolean isFresh() {
+    if (retired) {
+      return false;
+    }
     try {
       channel.configureBlocking(false);
       try {
--- a/adapters/src/main/java/org/cowslipstair/adapters/http/ExchangeInterceptor.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/http/ExchangeInterceptor.java
@@ -1,11 +1,13 @@
 package org.cowslipstair.adapters.http;
 
 import java.io.IOException;
+import java.util.Optional;
 import okhttp3.Connection;
 import okhttp3.Headers;
 import okhttp3.Interceptor;
 import okhttp3.Request;
 import okhttp3.Response;
+import org.cowslipstair.model.call.CallHeaders;
 
 /**
  * Stands between OkHttp and the connection. Lets each call pass once, only over a fresh connection,
@@ -42,7 +44,20 @@
     if (socket.reads() == readsBefore) {
       throw new IOException("answer arrived before the request was sent");
     }
+    checkId(response, trace.wireHeaders(), socket);
     trace.answered(AnswerFraming.check(response));
     return response.newBuilder().code(OK).headers(NO_HEADERS).build();
   }
+
+  /** Throws if an answer shows the id of another call, or is a refusal that may be a copy. */
+  private static void checkId(Response response, Headers sent, BackendSocket socket)
+      throws IOException {
+    Optional<String> id = Optional.ofNullable(response.header(CallHeaders.REQUEST_ID));
+    if (id.isPresent() && !id.get().equals(sent.get(CallHeaders.REQUEST_ID))) {
+      throw new IOException("answer to another request");
+    }
+    if (response.header(CallHeaders.BACKEND_NOT_RUN) != null && !socket.recordRefusal(id)) {
+      throw new IOException("refusal may be a copy of an earlier one");
+    }
+  }
 }
