gateway/: refuse calls that may not end before a planned stop does

The report on late requests in a planned stop, on the other data path. Calls on kept connections were taken until the stop timeout, whatever time they had, and cut at its end without an answer.

During the notice a call is taken and gets the end of the stop as its latest deadline, so that the caller has an answer before the connection closes; later only calls whose own time ends before that are taken. No service time is known there (calls wait for a lease), so none is asked for. Ruled out: shortening the deadline of calls older than the stop; stop_timeout_ms is the operator's, an hour unless set, and those are counted already.

--- a/adapters/src/test/java/org/cowslipstair/adapters/http/Edge.java
+++ b/adapters/src/test/java/org/cowslipstair/adapters/http/Edge.java
@@ -21,6 +21,7 @@
 import org.cowslipstair.logic.idempotency.IdempotencyGuard;
 import org.cowslipstair.logic.idempotency.IdempotencySettings;
 import org.cowslipstair.logic.invariant.InvariantMonitor;
+import org.cowslipstair.logic.stop.PlannedStop;
 import org.cowslipstair.model.call.NotRunReason;
 import org.cowslipstair.model.config.BackendServer;
 import org.cowslipstair.model.config.ConfigSnapshot;
@@ -44,6 +45,7 @@
   final OkHttpBackendTransport transport;
   final CallerServer server;
   final AtomicInteger handled = new AtomicInteger();
+  volatile Optional<PlannedStop> plannedStop = Optional.empty();
   private final MonotonicClock clock = MonotonicClock.system();
   private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
 
@@ -85,7 +87,7 @@
             Schedulers.computation(),
             threads);
     return new CallService(
-        CallSettings.defaults(), ports, new Random(7), InvariantMonitor.failing(), new NoHooks());
+        CallSettings.defaults(), ports, new Random(7), InvariantMonitor.failing(), new Hooks());
   }
 
   private static ConfigSnapshot snapshot(BackendServer backend) {
@@ -150,12 +152,17 @@
     threads.shutdown();
   }
 
-  private static final class NoHooks implements CallHooks {
+  private final class Hooks implements CallHooks {
     @Override
     public Optional<NotRunReason> refusalReason() {
       return Optional.empty();
     }
 
+    @Override
+    public Optional<PlannedStop> plannedStop() {
+      return plannedStop;
+    }
+
     @Override
     public void onDecision(String requestId, long atNs, CallDecision decision) {}
 
--- a/gateway/src/main/java/org/cowslipstair/gateway/GatewayProcess.java
+++ b/gateway/src/main/java/org/cowslipstair/gateway/GatewayProcess.java
@@ -22,6 +22,7 @@
 import org.cowslipstair.adapters.platform.HttpPlatformStore;
 import org.cowslipstair.logic.invariant.Invariant;
 import org.cowslipstair.logic.object.JsonObjectReader;
+import org.cowslipstair.logic.stop.PlannedStop;
 import org.cowslipstair.model.config.BackendServer;
 import org.cowslipstair.model.config.HostPort;
 import org.cowslipstair.model.config.StoreId;
@@ -40,6 +41,10 @@
 public final class GatewayProcess implements AutoCloseable {
   private static final Logger LOG = Logger.getLogger(GatewayProcess.class);
   private static final long NS_PER_MS = 1_000_000L;
+
+  /** Time before the end of a planned stop in which the last answers are written. */
+  private static final long RESPONSE_MARGIN_MS = 150;
+
   private static final long STATE_TIMEOUT_MS = 2_000;
   private static final int CONNECTION_BUDGET_PERCENT = 90;
   private static final int MIN_CONNECTIONS_PER_BACKEND = 3;
@@ -167,10 +172,12 @@
    * to the stop timeout before it closes anything.
    */
   public void stop() throws InterruptedException {
-    runtime.prepareStop();
+    long noticeEndNs = clock.nowNs() + settings.stopNoticeMs() * NS_PER_MS;
+    long endNs = noticeEndNs + settings.stopTimeoutMs() * NS_PER_MS;
+    runtime.prepareStop(new PlannedStop(noticeEndNs, endNs - RESPONSE_MARGIN_MS * NS_PER_MS));
     callerServer.stopAccepting();
     TimeUnit.MILLISECONDS.sleep(settings.stopNoticeMs());
-    boolean drained = callerServer.drain(clock.nowNs() + settings.stopTimeoutMs() * NS_PER_MS);
+    boolean drained = callerServer.drain(endNs);
     if (!drained) {
       runtime
           .invariantMonitor()
--- a/lib/src/main/java/org/cowslipstair/logic/call/CallHooks.java
+++ b/lib/src/main/java/org/cowslipstair/logic/call/CallHooks.java
@@ -1,6 +1,7 @@
 package org.cowslipstair.logic.call;
 
 import java.util.Optional;
+import org.cowslipstair.logic.stop.PlannedStop;
 import org.cowslipstair.model.call.NotRunReason;
 
 /** Callbacks from {@link CallService} to the process that hosts it. Called concurrently. */
@@ -11,6 +12,9 @@
    */
   Optional<NotRunReason> refusalReason();
 
+  /** Returns the planned stop of the process; empty if none has begun. */
+  Optional<PlannedStop> plannedStop();
+
   /** Records a decision about a call, made at the given monotonic time. */
   void onDecision(String requestId, long atNs, CallDecision decision);
 
--- a/lib/src/main/java/org/cowslipstair/logic/call/CallService.java
+++ b/lib/src/main/java/org/cowslipstair/logic/call/CallService.java
@@ -13,6 +13,7 @@
 import org.cowslipstair.logic.idempotency.KeyAcquisition;
 import org.cowslipstair.logic.invariant.Invariant;
 import org.cowslipstair.logic.invariant.InvariantMonitor;
+import org.cowslipstair.logic.stop.PlannedStop;
 import org.cowslipstair.model.call.NotRunReason;
 import org.cowslipstair.model.config.ConfigSnapshot;
 import org.cowslipstair.model.config.RoutingRule;
@@ -84,7 +85,12 @@
       CallRequest request, RoutingRule rule, Service service, long arrivedNs)
       throws InterruptedException {
     long timeoutNs = service.timeoutMs() * NS_PER_MS;
-    long deadlineNs = Math.min(request.callerDeadlineNs(), arrivedNs + timeoutNs);
+    long unlimitedNs = Math.min(request.callerDeadlineNs(), arrivedNs + timeoutNs);
+    Optional<PlannedStop> stop = hooks.plannedStop();
+    if (stop.isPresent() && !stop.get().accepts(arrivedNs, unlimitedNs, 0)) {
+      return refuse(request, Optional.of(service.name()), NotRunReason.GATEWAY_STOPPING, arrivedNs);
+    }
+    long deadlineNs = stop.map(begun -> begun.limit(unlimitedNs)).orElse(unlimitedNs);
     boolean idempotent = !rule.oncePerKey() && isIdempotent(rule, request.method());
     CallContext call =
         new CallContext(
@@ -104,7 +110,12 @@
           request, Optional.of(service.name()), NotRunReason.DEADLINE_TOO_CLOSE, arrivedNs);
     }
     budgetsFor(service.name()).recordCall();
-    return rule.oncePerKey() ? runOncePerKey(call) : run(call, newProgress(call));
+    CallResult result = rule.oncePerKey() ? runOncePerKey(call) : run(call, newProgress(call));
+    boolean isCutShort = deadlineNs < unlimitedNs && result instanceof MayHaveRun;
+    if (isCutShort && ports.clock().nowNs() >= deadlineNs) {
+      monitor.checkAtMost(Invariant.NO_CALL_CUT_OFF_BY_STOP, request.requestId(), 1, 0);
+    }
+    return result;
   }
 
   private CallResult runOncePerKey(CallContext call) throws InterruptedException {
--- a/lib/src/main/java/org/cowslipstair/runtime/GatewayCallHooks.java
+++ b/lib/src/main/java/org/cowslipstair/runtime/GatewayCallHooks.java
@@ -6,6 +6,7 @@
 import org.cowslipstair.logic.call.CallDecision;
 import org.cowslipstair.logic.call.CallHooks;
 import org.cowslipstair.logic.call.CallSummary;
+import org.cowslipstair.logic.stop.PlannedStop;
 import org.cowslipstair.model.call.NotRunReason;
 
 /**
@@ -18,6 +19,7 @@
   private final Consumer<CallSummary> callListener;
   private final BooleanSupplier isIsolated;
   private volatile boolean isStopping;
+  private volatile Optional<PlannedStop> plannedStop = Optional.empty();
 
   GatewayCallHooks(
       DecisionLog decisionLog,
@@ -30,6 +32,16 @@
     this.isIsolated = isIsolated;
   }
 
+  /** Begins a planned stop; it bounds the time of new calls. */
+  void beginStop(PlannedStop stop) {
+    plannedStop = Optional.of(stop);
+  }
+
+  @Override
+  public Optional<PlannedStop> plannedStop() {
+    return plannedStop;
+  }
+
   /** Refuses all new calls from now on. */
   void refuseNewCalls() {
     isStopping = true;
--- a/lib/src/main/java/org/cowslipstair/runtime/GatewayRuntime.java
+++ b/lib/src/main/java/org/cowslipstair/runtime/GatewayRuntime.java
@@ -23,6 +23,7 @@
 import org.cowslipstair.logic.invariant.InvariantMonitor;
 import org.cowslipstair.logic.membership.MembershipCore;
 import org.cowslipstair.logic.membership.MembershipSettings;
+import org.cowslipstair.logic.stop.PlannedStop;
 import org.cowslipstair.model.config.BackendServer;
 import org.cowslipstair.model.config.ConfigSnapshot;
 import org.cowslipstair.model.config.StoreId;
@@ -240,9 +241,13 @@
     return isZoneOut ? Optional.of("zone \"%s\" is out".formatted(zone)) : Optional.empty();
   }
 
-  /** Announces a planned stop: not ready from now on; hands every broker role over. */
-  public void prepareStop() {
+  /**
+   * Announces a planned stop: not ready from now on; hands every broker role over, and takes only
+   * calls that end with the stop at the latest.
+   */
+  public void prepareStop(PlannedStop stop) {
     isLeaving = true;
+    hooks.beginStop(stop);
     LOG.infof("gateway: %s is leaving", self.id());
     loop.execute(
         () -> {
--- a/lib/src/test/java/org/cowslipstair/logic/call/CallFixture.java
+++ b/lib/src/test/java/org/cowslipstair/logic/call/CallFixture.java
@@ -19,6 +19,7 @@
 import org.cowslipstair.logic.idempotency.IdempotencyGuard;
 import org.cowslipstair.logic.idempotency.IdempotencySettings;
 import org.cowslipstair.logic.invariant.InvariantMonitor;
+import org.cowslipstair.logic.stop.PlannedStop;
 import org.cowslipstair.model.call.CallHeaders;
 import org.cowslipstair.model.call.HeaderField;
 import org.cowslipstair.model.call.NotRunReason;
@@ -59,6 +60,7 @@
   final FakeAdmission admission;
   volatile ConfigSnapshot configuration;
   volatile Optional<NotRunReason> refusal = Optional.empty();
+  volatile Optional<PlannedStop> plannedStop = Optional.empty();
   final CallService service;
 
   CallFixture(BackendTransport transport, long seed) {
@@ -156,6 +158,11 @@
       return refusal;
     }
 
+    @Override
+    public Optional<PlannedStop> plannedStop() {
+      return plannedStop;
+    }
+
     @Override
     public void onDecision(String requestId, long atNs, CallDecision decision) {
       decisions.add(decision);
--- a/lib/src/test/java/org/cowslipstair/logic/call/CallServiceTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/call/CallServiceTest.java
@@ -16,9 +16,11 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 import org.cowslipstair.logic.call.CallResult.MayHaveRun;
 import org.cowslipstair.logic.call.CallResult.NotRun;
+import org.cowslipstair.logic.stop.PlannedStop;
 import org.cowslipstair.model.call.MayHaveRunReason;
 import org.cowslipstair.model.call.NotRunReason;
 import org.cowslipstair.model.config.BackendName;
@@ -273,6 +275,31 @@
     assertThat(sends.get(), is(0));
   }
 
+  /** Reported by operators: calls taken late in a planned stop were cut at its end. */
+  @Test
+  void callThatMayNotEndBeforeAPlannedStopIsRefusedAsNotRun() throws Exception {
+    long nowNs = fixture.nowNs.get();
+    fixture.plannedStop = Optional.of(new PlannedStop(nowNs, nowNs + 1));
+    assertThat(((NotRun) fixture.call("a", "POST")).reason(), is(NotRunReason.GATEWAY_STOPPING));
+    assertThat(sends.get(), is(0));
+  }
+
+  /** Reported by operators: calls taken late in a planned stop were cut at its end. */
+  @Test
+  void backendHasUntilTheEndOfAPlannedStopForACallTakenMeanwhile() throws Exception {
+    long nowNs = fixture.nowNs.get();
+    long stopEndNs = nowNs + 100 * CallFixture.NS_PER_MS;
+    fixture.plannedStop = Optional.of(new PlannedStop(stopEndNs, stopEndNs));
+    AtomicLong deadlineNs = new AtomicLong();
+    behaviour =
+        (_, call) -> {
+          deadlineNs.set(call.deadlineNs());
+          return FakeResponse.complete("ok");
+        };
+    assertThat(CallFixture.text(fixture.call("a", "POST")), is("ok"));
+    assertThat(deadlineNs.get(), is(stopEndNs));
+  }
+
   @Test
   void callIsRefusedWhileStoppingAndWithoutConfiguration() throws Exception {
     fixture.refusal = Optional.of(NotRunReason.GATEWAY_STOPPING);
