Load tool: gateways on event loops as a variant; busy hosts like those of the users

The variant event-loop runs the gateway of edge/ against the same backend servers, with the users' budgets; the scenario busy-hosts has noise on all hosts, durations that rise once most slots are busy, and servers that fall silent beyond a short queue. Stand-ins tell load and cold start in headers (/-/status) and repeat the id in refusals, without which edge/ rightly does not believe them.

Tests: EventLoopFleetTest, those of experiments, standins and cli.

--- a/experiments/src/main/java/org/cowslipstair/experiments/demo/Demo.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/demo/Demo.java
@@ -57,7 +57,7 @@
   }
 
   boolean run() throws StoreException, InterruptedException {
-    Balancer balancer = Balancer.start(fleet, sender);
+    Balancer balancer = Balancer.start(fleet::readyAddresses, sender);
     Thread progress = Thread.ofVirtual().start(this::showProgress);
     Thread script = Thread.ofVirtual().start(this::runEvents);
     load.run();
--- a/experiments/src/main/java/org/cowslipstair/experiments/fleet/Balancer.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/fleet/Balancer.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.cowslipstair.experiments.load.HttpCallSender;
 import org.cowslipstair.model.config.HostPort;
 
@@ -9,19 +10,19 @@
 public final class Balancer implements AutoCloseable {
   private static final long POLL_MS = 50;
 
-  private final TrialFleet fleet;
+  private final Supplier<List<HostPort>> readyAddresses;
   private final HttpCallSender sender;
   private final Thread thread;
 
-  private Balancer(TrialFleet fleet, HttpCallSender sender) {
-    this.fleet = fleet;
+  private Balancer(Supplier<List<HostPort>> readyAddresses, HttpCallSender sender) {
+    this.readyAddresses = readyAddresses;
     this.sender = sender;
     this.thread = Thread.ofVirtual().unstarted(this::follow);
   }
 
   /** Starts to follow the readiness of a fleet. */
-  public static Balancer start(TrialFleet fleet, HttpCallSender sender) {
-    Balancer balancer = new Balancer(fleet, sender);
+  public static Balancer start(Supplier<List<HostPort>> readyAddresses, HttpCallSender sender) {
+    Balancer balancer = new Balancer(readyAddresses, sender);
     balancer.thread.start();
     return balancer;
   }
@@ -30,7 +31,7 @@
     try {
       while (true) {
         TimeUnit.MILLISECONDS.sleep(POLL_MS);
-        List<HostPort> ready = fleet.readyAddresses();
+        List<HostPort> ready = readyAddresses.get();
         if (!ready.isEmpty()) {
           sender.setGateways(ready);
         }
--- a/experiments/src/main/java/org/cowslipstair/experiments/plan/ExperimentRun.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/plan/ExperimentRun.java
@@ -2,20 +2,25 @@
 
 import java.io.IOException;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
 import org.cowslipstair.adapters.settings.InvalidFileException;
 import org.cowslipstair.experiments.TrialException;
 import org.cowslipstair.experiments.fleet.Balancer;
 import org.cowslipstair.experiments.fleet.Deployment;
+import org.cowslipstair.experiments.fleet.EventLoopFleet;
 import org.cowslipstair.experiments.fleet.Loads;
 import org.cowslipstair.experiments.fleet.TrialFleet;
 import org.cowslipstair.experiments.load.HttpCallSender;
 import org.cowslipstair.experiments.load.LoadPlan;
 import org.cowslipstair.experiments.load.OpenLoopLoad;
 import org.cowslipstair.model.config.ConfigObject;
+import org.cowslipstair.model.config.HostPort;
 import org.cowslipstair.model.config.Service;
 import org.cowslipstair.port.StoreException;
 import org.cowslipstair.standins.backend.ServiceTime;
@@ -29,6 +34,7 @@
 
   private final Experiment experiment;
   private final TrialFleet fleet;
+  private final Optional<EventLoopFleet> eventLoop;
   private final int gatewayCount;
   private int phases;
 
@@ -41,9 +47,11 @@
     void completed(Comparison comparison) throws IOException;
   }
 
-  private ExperimentRun(Experiment experiment, TrialFleet fleet) {
+  private ExperimentRun(
+      Experiment experiment, TrialFleet fleet, Optional<EventLoopFleet> eventLoop) {
     this.experiment = experiment;
     this.fleet = fleet;
+    this.eventLoop = eventLoop;
     this.gatewayCount = experiment.gateways();
   }
 
@@ -56,7 +64,14 @@
             experiment.gateways(),
             serviceTime,
             experiment.seed())) {
-      new ExperimentRun(experiment, fleet).runAll(listener);
+      if (experiment.variants().stream().noneMatch(Variant.EventLoop.class::isInstance)) {
+        new ExperimentRun(experiment, fleet, Optional.empty()).runAll(listener);
+        return;
+      }
+      try (EventLoopFleet eventLoop =
+          EventLoopFleet.start(fleet.deployment(), experiment.gateways(), experiment.seed())) {
+        new ExperimentRun(experiment, fleet, Optional.of(eventLoop)).runAll(listener);
+      }
     } catch (IOException | InvalidFileException | StoreException | TimeoutException e) {
       throw new TrialException(experiment.name(), e);
     }
@@ -101,19 +116,21 @@
       Scenario scenario, int percent, Variant variant, long phaseMs, VariantResult result)
       throws StoreException, InterruptedException, IOException, TimeoutException {
     usePolicy(variant);
-    ScenarioEvents events = new ScenarioEvents(scenario, fleet);
+    Optional<EventLoopFleet> used = eventLoop.filter(_ -> variant instanceof Variant.EventLoop);
+    Supplier<List<HostPort>> readyAddresses =
+        () -> used.map(EventLoopFleet::readyAddresses).orElseGet(fleet::readyAddresses);
+    ScenarioEvents events = new ScenarioEvents(scenario, fleet, used);
     events.before();
     phases++;
     HttpCallSender sender =
-        new HttpCallSender(
-            fleet.readyAddresses(), experiment.name() + "-" + phases, CALL_TIMEOUT_MS);
+        new HttpCallSender(readyAddresses.get(), experiment.name() + "-" + phases, CALL_TIMEOUT_MS);
     OpenLoopLoad load = new OpenLoopLoad(plan(percent, phaseMs), sender);
     AtomicReference<Exception> failure = new AtomicReference<>();
-    Balancer balancer = Balancer.start(fleet, sender);
+    Balancer balancer = Balancer.start(readyAddresses, sender);
     LimitSampler sampler = new LimitSampler(fleet);
     Thread sampling = Thread.ofPlatform().daemon().start(sampler);
     Thread script = Thread.ofVirtual().start(() -> runEvents(events, phaseMs, failure));
-    FleetCounts before = FleetCounts.of(fleet);
+    FleetCounts before = FleetCounts.of(fleet, used);
     long startNs = System.nanoTime();
     load.run();
     script.join();
@@ -122,7 +139,7 @@
     result.add(
         load.results().values(),
         sampler.means(),
-        FleetCounts.of(fleet).minus(before),
+        FleetCounts.of(fleet, used).minus(before),
         System.nanoTime() - startNs);
     sender.close();
     events.after();
@@ -149,7 +166,10 @@
 
   private void usePolicy(Variant variant)
       throws StoreException, InterruptedException, TimeoutException {
-    Deployment changed = fleet.deployment().withPolicy(variant.policy(), variant.hedging());
+    if (!(variant instanceof Variant.Policy(var policy, boolean hedging))) {
+      return;
+    }
+    Deployment changed = fleet.deployment().withPolicy(policy, hedging);
     for (ConfigObject object : changed.objects()) {
       if (object instanceof Service) {
         fleet.write(object);
--- a/experiments/src/main/java/org/cowslipstair/experiments/plan/FleetCounts.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/plan/FleetCounts.java
@@ -1,5 +1,7 @@
 package org.cowslipstair.experiments.plan;
 
+import java.util.Optional;
+import org.cowslipstair.experiments.fleet.EventLoopFleet;
 import org.cowslipstair.experiments.fleet.TrialFleet;
 import org.cowslipstair.gateway.GatewayProcess;
 import org.cowslipstair.logic.invariant.Invariant;
@@ -17,8 +19,9 @@
     long controlBytes,
     long violations,
     long controlCpuNs) {
-  static FleetCounts of(TrialFleet fleet) {
-    FleetCounts sum = new FleetCounts(0, 0, 0, 0, 0, 0, 0, 0, 0);
+  static FleetCounts of(TrialFleet fleet, Optional<EventLoopFleet> eventLoop) {
+    long eventLoopViolations = eventLoop.map(EventLoopFleet::violations).orElse(0L);
+    FleetCounts sum = new FleetCounts(0, 0, 0, 0, 0, 0, 0, eventLoopViolations, 0);
     for (BackendServerStandin backend : fleet.backends().values()) {
       BackendCounts counts = backend.counts();
       sum =
--- a/experiments/src/main/java/org/cowslipstair/experiments/plan/Scenario.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/plan/Scenario.java
@@ -9,6 +9,11 @@
   STEADY,
   /** Neighbours slow a third of the backend servers down for tens of milliseconds at a time. */
   SHIFTING,
+  /**
+   * Hosts like those of the users: each is slowed down a quarter of the time, calls take longer
+   * once most slots are busy, and those beyond a short queue never get a response.
+   */
+  BUSY_HOSTS,
   /** One backend server of each service gets ten times slower. */
   SLOW_BACKEND,
   /** One backend server of each service refuses all calls as not run. */
--- a/experiments/src/main/java/org/cowslipstair/experiments/plan/ScenarioEvents.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/plan/ScenarioEvents.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.UnaryOperator;
 import org.cowslipstair.experiments.fleet.Deployment;
+import org.cowslipstair.experiments.fleet.EventLoopFleet;
 import org.cowslipstair.experiments.fleet.TrialFleet;
 import org.cowslipstair.gateway.GatewayProcess;
 import org.cowslipstair.model.config.BackendServer;
@@ -17,10 +18,14 @@
 import org.cowslipstair.standins.backend.BackendBehaviour;
 import org.cowslipstair.standins.backend.BackendServerStandin;
 import org.cowslipstair.standins.backend.Noise;
+import org.cowslipstair.standins.backend.Overload;
 
 /** Carries out a scenario on a fleet: once when a phase starts, again in its course, and back. */
 final class ScenarioEvents {
   private static final Noise NEIGHBOUR = new Noise(180, 60, 3);
+  private static final Noise BUSY_HOST = new Noise(600, 150, 5);
+  private static final Overload STEEP_AND_SILENT = new Overload(0.8, 1.7, true);
+  private static final int SHORT_QUEUE = 6;
   private static final int EVERY_NOISY = 3;
   private static final double SLOW_FACTOR = 10;
   private static final long ZONE_GRACE_MS = 4_000;
@@ -28,11 +33,18 @@
 
   private final Scenario scenario;
   private final TrialFleet fleet;
+  private final Optional<EventLoopFleet> eventLoop;
   private final ZoneName zone;
 
-  ScenarioEvents(Scenario scenario, TrialFleet fleet) {
+  /**
+   * Creates the events of a phase.
+   *
+   * @param eventLoop gateways on event loops; empty if others carry the calls of the phase
+   */
+  ScenarioEvents(Scenario scenario, TrialFleet fleet, Optional<EventLoopFleet> eventLoop) {
     this.scenario = scenario;
     this.fleet = fleet;
+    this.eventLoop = eventLoop;
     this.zone = fleet.deployment().zones().getLast();
   }
 
@@ -44,6 +56,14 @@
         change(all.get(i), old -> old.withNoise(NEIGHBOUR));
       }
     }
+    if (scenario == Scenario.BUSY_HOSTS) {
+      for (BackendServer backend : fleet.deployment().backends()) {
+        change(
+            backend,
+            old ->
+                old.withNoise(BUSY_HOST).withOverload(STEEP_AND_SILENT).withMaxQueue(SHORT_QUEUE));
+      }
+    }
   }
 
   /** Lets the event of the scenario happen; returns after its part of the phase. */
@@ -51,27 +71,39 @@
       throws StoreException, InterruptedException, IOException, TimeoutException {
     long thirdMs = phaseMs / 3;
     switch (scenario) {
-      case STEADY, SHIFTING -> {}
+      case STEADY, SHIFTING, BUSY_HOSTS -> {}
       case SLOW_BACKEND -> disturb(thirdMs, old -> old.withSlowFactor(SLOW_FACTOR));
       case SHEDDING -> disturb(thirdMs, old -> old.withShedding(true));
       case COLD_FALL ->
           firstOfEach(backend -> standin(backend).ifPresent(s -> s.goCold()), thirdMs);
       case ZONE_OUT -> {
         fleet.markZone(zone, ZONE_GRACE_MS);
-        fleet.setZoneOut(zone, true);
+        setZoneOut(true);
         TimeUnit.MILLISECONDS.sleep(thirdMs + ZONE_GRACE_MS);
         fleet.clearMarks();
-        fleet.setZoneOut(zone, false);
+        setZoneOut(false);
       }
       case BROKER_STOP -> replaceGateway(true);
       default -> replaceGateway(false);
     }
   }
 
+  private void setZoneOut(boolean isOut) throws StoreException {
+    fleet.setZoneOut(zone, isOut);
+    eventLoop.ifPresent(gateways -> gateways.setZoneOut(zone, isOut));
+  }
+
   /** Puts everything back. */
   void after() {
     for (BackendServer backend : fleet.deployment().backends()) {
-      change(backend, old -> old.withNoise(Noise.none()).withSlowFactor(1).withShedding(false));
+      change(
+          backend,
+          old ->
+              old.withNoise(Noise.none())
+                  .withOverload(Overload.none())
+                  .withMaxQueue(-1)
+                  .withSlowFactor(1)
+                  .withShedding(false));
       standin(backend).ifPresent(BackendServerStandin::becomeWarm);
     }
   }
@@ -97,6 +129,10 @@
 
   private void replaceGateway(boolean planned)
       throws InterruptedException, IOException, TimeoutException {
+    if (eventLoop.isPresent()) {
+      eventLoop.get().replaceOne(planned);
+      return;
+    }
     GatewayProcess broker = busiestBroker();
     GatewayName name = broker.instance().name();
     ZoneName home = broker.instance().zone();
--- a/standins/src/main/java/org/cowslipstair/standins/backend/BackendBehaviour.java
+++ b/standins/src/main/java/org/cowslipstair/standins/backend/BackendBehaviour.java
@@ -13,6 +13,7 @@
  * @param cutPercent percentage of responses that are truncated by closing the connection
  * @param cancelNoticeMs interval of the checks for a connection closed by the caller
  * @param connectDelayUs delay of the first request on each connection
+ * @param overload what happens when most or all slots are busy
  */
 public record BackendBehaviour(
     int slots,
@@ -27,7 +28,8 @@
     int errorPercent,
     int cutPercent,
     long cancelNoticeMs,
-    long connectDelayUs) {
+    long connectDelayUs,
+    Overload overload) {
   private static final long DEFAULT_CANCEL_NOTICE_MS = 10;
 
   /** Returns the behaviour of a healthy backend server with an unbounded queue. */
@@ -45,7 +47,8 @@
         0,
         0,
         DEFAULT_CANCEL_NOTICE_MS,
-        0);
+        0,
+        Overload.none());
   }
 
   /** Returns a copy with another queue limit; -1 for no limit. */
@@ -98,7 +101,8 @@
         newErrorPercent,
         newCutPercent,
         cancelNoticeMs,
-        connectDelayUs);
+        connectDelayUs,
+        overload);
   }
 
   /** Returns a copy with another delay of the first request on each connection. */
@@ -116,7 +120,27 @@
         errorPercent,
         cutPercent,
         cancelNoticeMs,
-        newConnectDelayUs);
+        newConnectDelayUs,
+        overload);
+  }
+
+  /** Returns a copy with another behaviour when most or all slots are busy. */
+  public BackendBehaviour withOverload(Overload newOverload) {
+    return new BackendBehaviour(
+        slots,
+        maxQueue,
+        serviceTime,
+        slowFactor,
+        noise,
+        coldStart,
+        reports,
+        draining,
+        shedding,
+        errorPercent,
+        cutPercent,
+        cancelNoticeMs,
+        connectDelayUs,
+        newOverload);
   }
 
   private BackendBehaviour copy(
@@ -140,6 +164,7 @@
         errorPercent,
         cutPercent,
         cancelNoticeMs,
-        connectDelayUs);
+        connectDelayUs,
+        overload);
   }
 }
--- a/standins/src/main/java/org/cowslipstair/standins/backend/BackendControl.java
+++ b/standins/src/main/java/org/cowslipstair/standins/backend/BackendControl.java
@@ -10,9 +10,11 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.Fields;
 
@@ -20,6 +22,12 @@
 final class BackendControl {
   private static final ObjectMapper MAPPER = JsonMapper.builder().build();
   private static final String PATH_PREFIX = "/-/";
+  private static final String LOAD_HEADER = "Backend-Load";
+  private static final String COLD_HEADER = "Backend-Cold-Ms";
+  private static final double PERCENT = 100;
+
+  /** Time for which a cold server says that it stays cold; it cannot know, calls warm it. */
+  private static final long COLD_REPORT_MS = 500;
 
   private final BackendServerStandin standin;
   private final LoadReporter loadReporter;
@@ -40,6 +48,7 @@
     switch (endpoint) {
       case "GET health" -> sendJson(response, callback, Map.of("health", probeLoad().health()));
       case "GET load" -> sendJson(response, callback, probeLoad());
+      case "GET status" -> sendStatus(response, callback);
       case "GET counts" -> sendJson(response, callback, standin.counts());
       case "GET behaviour" -> sendJson(response, callback, standin.behaviour());
       case "POST behaviour" -> changeBehaviour(request, response, callback);
@@ -56,6 +65,23 @@
     return true;
   }
 
+  /** Health as the status code, load and the rest of a cold start as headers. */
+  private void sendStatus(Response response, Callback callback) throws InterruptedException {
+    ServiceModel.Load load = probeLoad();
+    boolean isHealthy = load.health() == BackendHealth.WARM || load.health() == BackendHealth.COLD;
+    long pacePercent = Math.round(PERCENT * standin.model().slowdownFactor());
+    response.setStatus(isHealthy ? HttpStatus.OK_200 : HttpStatus.SERVICE_UNAVAILABLE_503);
+    response
+        .getHeaders()
+        .put(
+            LOAD_HEADER,
+            "%d,%d,%d,%d".formatted(load.running(), load.waiting(), load.slots(), pacePercent));
+    if (load.health() == BackendHealth.COLD) {
+      response.getHeaders().put(COLD_HEADER, COLD_REPORT_MS);
+    }
+    response.write(true, BufferUtil.EMPTY_BUFFER, callback);
+  }
+
   private ServiceModel.Load probeLoad() throws InterruptedException {
     standin.counters().recordProbe(System.nanoTime());
     Reports reports = standin.behaviour().reports();
--- a/standins/src/main/java/org/cowslipstair/standins/backend/BackendHandler.java
+++ b/standins/src/main/java/org/cowslipstair/standins/backend/BackendHandler.java
@@ -80,6 +80,7 @@
       case DONE -> serve(request, response, callback, earlyUpload, deadlineNs, arrivedNs);
       case NOT_RUN -> {
         response.getHeaders().put(NOT_RUN_HEADER, "1");
+        response.getHeaders().put(REQUEST_ID_HEADER, requestId(request));
         sendStatus(response, 503, callback);
       }
       default -> abort(request, callback);
--- a/standins/src/main/java/org/cowslipstair/standins/backend/ServiceModel.java
+++ b/standins/src/main/java/org/cowslipstair/standins/backend/ServiceModel.java
@@ -52,7 +52,15 @@
   }
 
   /** Values of the health and load endpoints. */
-  record Load(BackendHealth health, int inFlight, int slots, long latencyMicros) {}
+  record Load(BackendHealth health, int inFlight, int slots, long latencyMicros) {
+    int running() {
+      return Math.min(inFlight, slots);
+    }
+
+    int waiting() {
+      return inFlight - running();
+    }
+  }
 
   /** Waits for a slot; after {@link Outcome#DONE} the caller must {@link #releaseSlot}. */
   Outcome acquireSlot(long deadlineNs, BooleanSupplier callerGone) {
@@ -65,6 +73,9 @@
           running >= current.slots()
               && current.maxQueue() >= 0
               && queue.size() >= current.maxQueue();
+      if (isQueueFull && current.overload().hangsWhenFull()) {
+        return awaitCallerGone(deadlineNs, callerGone);
+      }
       if (current.draining() || current.shedding() || isQueueFull) {
         countArrivalAfterMark();
         counters.increment(Counters.Metric.NOT_RUN);
@@ -107,6 +118,15 @@
     return Outcome.DONE;
   }
 
+  /** Leaves a call without a response until its caller gives up. */
+  private Outcome awaitCallerGone(long deadlineNs, BooleanSupplier callerGone) {
+    counters.increment(Counters.Metric.NOT_RUN);
+    while (System.nanoTime() - deadlineNs < 0 && !callerGone.getAsBoolean()) {
+      awaitSignal(callerCheckIntervalNs());
+    }
+    return Outcome.CANCELLED;
+  }
+
   private void awaitSignal(long waitNs) {
     if (waitNs <= 0) {
       return;
@@ -174,6 +194,11 @@
     return TimeUnit.MILLISECONDS.toNanos(Math.max(1, behaviour.get().cancelNoticeMs()));
   }
 
+  /** Returns the factor by which durations of calls are multiplied now. */
+  double slowdownFactor() {
+    return slowdownFactor(System.nanoTime());
+  }
+
   private double slowdownFactor(long nowNs) {
     lock.lock();
     try {
@@ -181,6 +206,9 @@
       updateColdStart(nowNs);
       double factor =
           Math.max(0.001, current.slowFactor()) * noiseSchedule.factorAt(current.noise(), nowNs);
+      if (running >= current.overload().kneeShare() * current.slots()) {
+        factor *= current.overload().kneeFactor();
+      }
       return isCollapsed ? factor * Math.max(1, current.coldStart().collapseFactor()) : factor;
     } finally {
       lock.unlock();
