Soak: a request that crashes the servers that run it returns again and again

Each such fault is a request of its own, returned to any gateway every 150 ms for 5.5 to 10.5 s, beside kills, stops, cuts and a store that fails. Checked: at most three servers get it later than 3.5 s after the third, while no gateway was killed or paused.

--- a/soak/src/main/java/org/cowslipstair/soak/SoakRun.java
+++ b/soak/src/main/java/org/cowslipstair/soak/SoakRun.java
@@ -90,7 +90,9 @@
       requestLog.checkServedAfter(endNs - FINAL_CHECK_MS * NS_PER_MS, MIN_SERVED_SHARE_AT_END);
       requestLog.checkNotRunReports();
       fleet.check(
-          new FleetChecks(limits, requestLog, disturbanceLog, violations), plan.checksTimeLimits());
+          new FleetChecks(limits, requestLog, disturbanceLog, violations),
+          unplannedDisturbances,
+          plan.checksTimeLimits());
       for (GatewayProcess gateway : fleet.gateways()) {
         gateway
             .invariantViolationLines()
--- a/soak/src/main/java/org/cowslipstair/soak/check/FleetChecks.java
+++ b/soak/src/main/java/org/cowslipstair/soak/check/FleetChecks.java
@@ -15,6 +15,11 @@
   /** Tolerance for scheduling delays of a busy machine, which the daemons cannot avoid. */
   private static final long MARGIN_NS = 500 * NS_PER_MS;
 
+  /** Crashes after which a request must be held back, and number of later sends allowed. */
+  private static final int MAX_DEADLY_CRASHES = 3;
+
+  private static final int MAX_LATE_SENDS = 3;
+
   private final Limits limits;
   private final RequestLog requestLog;
   private final DisturbanceLog disturbanceLog;
@@ -121,6 +126,36 @@
     }
   }
 
+  /**
+   * Checks that a request that crashes each server that runs it is held back by the whole fleet.
+   *
+   * @param idPrefix start of the ids of all its returns
+   * @param gatewaysDown when gateways were killed or paused; those of the store do not count
+   */
+  public void checkDeadlyRequest(String idPrefix, DisturbanceLog gatewaysDown) {
+    List<Long> arrivals =
+        requestLog.entriesOf(idPrefix).stream()
+            .flatMap(entry -> entry.arrivals().stream())
+            .map(Arrival::atNs)
+            .sorted()
+            .toList();
+    if (arrivals.size() < MAX_DEADLY_CRASHES) {
+      return;
+    }
+    long noticedNs =
+        arrivals.get(MAX_DEADLY_CRASHES - 1) + limits.settleMs() * NS_PER_MS + MARGIN_NS;
+    List<Long> lateArrivals =
+        arrivals.stream()
+            .filter(ns -> ns > noticedNs && gatewaysDown.isUndisturbed(ns, ns))
+            .toList();
+    if (lateArrivals.size() > MAX_LATE_SENDS) {
+      violations.add(
+          lateArrivals.get(MAX_LATE_SENDS),
+          "crashing request held back",
+          "%s reached %d servers late".formatted(idPrefix, lateArrivals.size()));
+    }
+  }
+
   private Map<String, List<Long>> arrivalsByBackend() {
     Map<String, List<Long>> times = new HashMap<>();
     for (RequestLog.Entry entry : requestLog.entries()) {
--- a/soak/src/main/java/org/cowslipstair/soak/check/RequestLog.java
+++ b/soak/src/main/java/org/cowslipstair/soak/check/RequestLog.java
@@ -130,6 +130,14 @@
     return Optional.ofNullable(entries.get(id));
   }
 
+  /** Returns the entries of requests whose ids start with a prefix. */
+  public List<Entry> entriesOf(String idPrefix) {
+    return entries.entrySet().stream()
+        .filter(entry -> entry.getKey().startsWith(idPrefix))
+        .map(Map.Entry::getValue)
+        .toList();
+  }
+
   /** Returns all entries. */
   public List<Entry> entries() {
     return List.copyOf(entries.values());
--- a/soak/src/main/java/org/cowslipstair/soak/fault/Fault.java
+++ b/soak/src/main/java/org/cowslipstair/soak/fault/Fault.java
@@ -50,6 +50,9 @@
   /** A backend server crashes. */
   record BackendCrash(int backend) implements Fault {}
 
+  /** A request that crashes the servers that run it returns again and again. */
+  record DeadlyRequest(int number, long forMs) implements Fault {}
+
   /** A backend server announces that it is leaving. */
   record BackendLeaves(int backend) implements Fault {}
 
--- a/soak/src/main/java/org/cowslipstair/soak/fault/FaultInjector.java
+++ b/soak/src/main/java/org/cowslipstair/soak/fault/FaultInjector.java
@@ -96,6 +96,8 @@
       case Fault.BackendCrash(int index) -> fleet.crash(backend(index));
       case Fault.BackendLeaves(int index) -> fleet.leave(backend(index));
       case Fault.BackendCold(int index) -> fleet.startCold(backend(index));
+      case Fault.DeadlyRequest(int number, long forMs) ->
+          fleet.returnDeadlyRequest(number, System.nanoTime() + forMs * NS_PER_MS);
       case Fault.ChangeConfiguration() -> changeConfiguration();
       case Fault.ZoneOut(String zone, long forMs) -> fleet.takeZoneOut(zone, forMs);
     }
--- a/soak/src/main/java/org/cowslipstair/soak/fault/FaultPlan.java
+++ b/soak/src/main/java/org/cowslipstair/soak/fault/FaultPlan.java
@@ -14,6 +14,9 @@
   private static final int INDEX_RANGE = 1_000;
   private static final double KILLED_SHARE = 0.6;
 
+  /** Long enough for returns after the time in which the fleet must hold the request back. */
+  private static final long DEADLY_MIN_MS = 5_000;
+
   private final Random random;
 
   private FaultPlan(long seed) {
@@ -61,6 +64,7 @@
     BACKEND_CRASH,
     BACKEND_LEAVES,
     BACKEND_COLD,
+    DEADLY_REQUEST,
     CONFIGURATION,
     ZONE_OUT
   }
@@ -85,6 +89,7 @@
       case BACKEND_CRASH -> new Fault.BackendCrash(index);
       case BACKEND_LEAVES -> new Fault.BackendLeaves(index);
       case BACKEND_COLD -> new Fault.BackendCold(index);
+      case DEADLY_REQUEST -> new Fault.DeadlyRequest(index, forMs + DEADLY_MIN_MS);
       case CONFIGURATION -> new Fault.ChangeConfiguration();
       case ZONE_OUT ->
           new Fault.ZoneOut(Fleet.ZONES.get(random.nextInt(Fleet.ZONES.size())), forMs + 5_000);
--- a/soak/src/main/java/org/cowslipstair/soak/fleet/Backend.java
+++ b/soak/src/main/java/org/cowslipstair/soak/fleet/Backend.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import org.cowslipstair.soak.check.RequestLog;
 import org.cowslipstair.soak.net.FaultyLink;
 import org.cowslipstair.soak.net.HeaderNames;
@@ -37,6 +38,7 @@
   private final String zone;
   private final HeaderNames headerNames;
   private final RequestLog requestLog;
+  private final Consumer<Backend> onDeadlyRequest;
   private final LoopbackHttpServer server;
   private final FaultyLink link;
   private final Semaphore slots = new Semaphore(SLOTS, true);
@@ -67,15 +69,25 @@
     LIES
   }
 
-  /** Starts a backend server. */
+  /**
+   * Starts a backend server.
+   *
+   * @param onDeadlyRequest called when it begins to run a request that crashes it
+   */
   public Backend(
-      String name, String service, String zone, HeaderNames headerNames, RequestLog requestLog)
+      String name,
+      String service,
+      String zone,
+      HeaderNames headerNames,
+      RequestLog requestLog,
+      Consumer<Backend> onDeadlyRequest)
       throws IOException {
     this.name = name;
     this.service = service;
     this.zone = zone;
     this.headerNames = headerNames;
     this.requestLog = requestLog;
+    this.onDeadlyRequest = onDeadlyRequest;
     this.server = new LoopbackHttpServer(this::handle);
     this.link = new FaultyLink(server.port());
   }
@@ -150,6 +162,9 @@
     try {
       slots.acquire();
       try {
+        if (DeadlyCaller.isDeadly(request)) {
+          crash(id);
+        }
         run(id, connection);
       } finally {
         slots.release();
@@ -159,6 +174,13 @@
     }
   }
 
+  private void crash(String id) throws IOException {
+    requestLog.runStarted(id, name, System.nanoTime());
+    requestLog.markResponseFaulty(id);
+    onDeadlyRequest.accept(this);
+    throw new IOException("crashed");
+  }
+
   private void run(String id, HttpConnection connection) throws IOException, InterruptedException {
     Fault currentFault =
         ThreadLocalRandom.current().nextDouble() < FAULTY_SHARE ? fault : Fault.NONE;
--- a/soak/src/main/java/org/cowslipstair/soak/fleet/Fleet.java
+++ b/soak/src/main/java/org/cowslipstair/soak/fleet/Fleet.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -18,6 +19,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Collectors;
 import org.cowslipstair.soak.Limits;
+import org.cowslipstair.soak.check.DisturbanceLog;
 import org.cowslipstair.soak.check.FleetChecks;
 import org.cowslipstair.soak.check.RequestLog;
 import org.cowslipstair.soak.check.Violations;
@@ -53,6 +55,7 @@
   private final SystemUnderTest system;
   private final Limits limits;
   private final RequestLog requestLog;
+  private final Violations violations;
   private final StoreModel store = new StoreModel();
   private final SystemUnderTest.StoreFaults storeFaults = new SystemUnderTest.StoreFaults();
   private final LoopbackHttpServer storeServer;
@@ -61,6 +64,7 @@
   private final List<FleetChecks.ClosedPeriod> drainingPeriods = new CopyOnWriteArrayList<>();
   private final List<FleetChecks.ClosedPeriod> zoneOutPeriods = new CopyOnWriteArrayList<>();
   private final List<FleetChecks.ColdPeriod> coldPeriods = new CopyOnWriteArrayList<>();
+  private final Set<String> deadlyIdPrefixes = ConcurrentHashMap.newKeySet();
   private final AtomicBoolean isAnyZoneOut = new AtomicBoolean();
   private final AtomicLong sequence = new AtomicLong();
   private long version;
@@ -79,11 +83,12 @@
     this.system = system;
     this.limits = limits;
     this.requestLog = requestLog;
+    this.violations = violations;
     this.storeServer = new LoopbackHttpServer(system.store(store, storeFaults));
     for (String service : SERVICES) {
       for (String zone : ZONES) {
         for (int i = 0; i < BACKENDS_PER_ZONE; i++) {
-          register(new Backend(nextName(), service, zone, system.headerNames(), requestLog));
+          register(newBackend(service, zone));
         }
       }
     }
@@ -123,6 +128,25 @@
     return ports;
   }
 
+  private Backend newBackend(String service, String zone) throws IOException {
+    return new Backend(
+        nextName(), service, zone, system.headerNames(), requestLog, this::startCrash);
+  }
+
+  private void startCrash(Backend backend) {
+    Thread.ofVirtual().start(() -> crashOrReport(backend));
+  }
+
+  private void crashOrReport(Backend backend) {
+    try {
+      crash(backend);
+    } catch (IOException e) {
+      violations.add(System.nanoTime(), "soak", "crash failed: " + e.getMessage());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private String nextName() {
     return "b-" + sequence.incrementAndGet();
   }
@@ -267,8 +291,7 @@
 
   private void replace(Backend old, long entryExpiryMs) throws IOException, InterruptedException {
     backends.remove(old);
-    Backend next =
-        new Backend(nextName(), old.service(), old.zone(), system.headerNames(), requestLog);
+    Backend next = newBackend(old.service(), old.zone());
     startCold(next);
     register(next);
     TimeUnit.MILLISECONDS.sleep(entryExpiryMs);
@@ -276,6 +299,13 @@
     old.close();
   }
 
+  /** Lets a request that crashes its servers return again and again until the given time. */
+  public void returnDeadlyRequest(int number, long untilNs) throws InterruptedException {
+    DeadlyCaller caller = new DeadlyCaller(number, system.headerNames(), gateways, requestLog);
+    deadlyIdPrefixes.add(caller.idPrefix());
+    caller.run(untilNs);
+  }
+
   /** Starts a cold period of a backend server. */
   public void startCold(Backend backend) {
     long nowNs = System.nanoTime();
@@ -311,11 +341,16 @@
     return JsonNodeFactory.instance.objectNode();
   }
 
-  /** Runs the fleet-wide checks. */
-  public void check(FleetChecks checks, boolean checksTimeLimits) {
+  /**
+   * Runs the fleet-wide checks.
+   *
+   * @param gatewaysDown when gateways were killed or paused
+   */
+  public void check(FleetChecks checks, DisturbanceLog gatewaysDown, boolean checksTimeLimits) {
     checks.checkRetryBudget();
     checks.checkColdPeriods(coldPeriods);
     if (checksTimeLimits) {
+      deadlyIdPrefixes.forEach(prefix -> checks.checkDeadlyRequest(prefix, gatewaysDown));
       checks.checkClosedPeriods(drainingPeriods, limits.leaveMs());
       checks.checkClosedPeriods(zoneOutPeriods, limits.zoneOutMs());
     }
--- a/soak/src/test/java/org/cowslipstair/soak/check/FleetChecksTest.java
+++ b/soak/src/test/java/org/cowslipstair/soak/check/FleetChecksTest.java
@@ -81,6 +81,24 @@
     assertReported("retry budget");
   }
 
+  @Test
+  void lateSendsOfADeadlyRequestAreReported() {
+    for (int i = 0; i < 6; i++) {
+      requestLog.requestSent("deadly-1-" + i, RequestKind.SAFE, 0);
+      recordArrival("deadly-1-" + i, "b-" + i, i < 3 ? 100 * i : 4_000 + 100 * i);
+    }
+    checks.checkDeadlyRequest("deadly-1-", new DisturbanceLog(0));
+    assertThat(violations.texts(), empty());
+    requestLog.requestSent("deadly-1-6", RequestKind.SAFE, 0);
+    recordArrival("deadly-1-6", "b-6", 5_000);
+    DisturbanceLog killed = new DisturbanceLog(0);
+    killed.recordStart(4_900 * MS);
+    checks.checkDeadlyRequest("deadly-1-", killed);
+    assertThat(violations.texts(), empty());
+    checks.checkDeadlyRequest("deadly-1-", new DisturbanceLog(0));
+    assertReported("crashing request held back");
+  }
+
   @Test
   void excessRequestsToColdBackendAreReported() {
     for (int i = 0; i < 14; i++) {
