--- a/experiments/src/main/java/org/cowslipstair/experiments/fleet/EventLoopFleet.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/fleet/EventLoopFleet.java
@@ -48,13 +48,15 @@
   private static final double RETRY_SLACK = 64;
   private static final double COLD_FACTOR = 1.5;
   private static final double COLD_SLACK = 5;
-  private static final FrontSettings.FleetLimits LIMITS =
-      new FrontSettings.FleetLimits(60, 6_000, 400L << 20, 50);
+  private static final long STOP_TIMEOUT_MS = 6_000;
+  private static final long MAX_MEMORY_BYTES = 400L << 20;
+  private static final long CHANGE_BATCH_DELAY_MS = 50;
 
   private static final long READY_POLL_MS = 20;
   private static final long AWAY_MS = 2_000;
 
   private final DeploymentFeed feed;
+  private final FrontSettings.FleetLimits limits;
   private final SplittableRandom seeds;
   private final Map<String, Member> members = new ConcurrentHashMap<>();
   private final AtomicLong violations = new AtomicLong();
@@ -62,16 +64,24 @@
   private record Member(
       String name, ZoneName zone, FrontGateway gateway, MultiThreadIoEventLoopGroup group) {}
 
-  private EventLoopFleet(Deployment deployment, long seed) {
+  private EventLoopFleet(Deployment deployment, double probesPerSecond, long seed) {
     this.feed = new DeploymentFeed(deployment);
+    this.limits =
+        new FrontSettings.FleetLimits(
+            probesPerSecond, STOP_TIMEOUT_MS, MAX_MEMORY_BYTES, CHANGE_BATCH_DELAY_MS);
     this.seeds = new SplittableRandom(seed);
   }
 
-  /** Starts gateways, spread over the zones, and waits until they are ready. */
-  public static EventLoopFleet start(Deployment deployment, int gatewayCount, long seed)
+  /**
+   * Starts gateways, spread over the zones, and waits until they are ready.
+   *
+   * @param probesPerSecond probes that a backend server may get from all gateways together
+   */
+  public static EventLoopFleet start(
+      Deployment deployment, int gatewayCount, double probesPerSecond, long seed)
       throws IOException, InterruptedException {
     silenceLinesPerRequest();
-    EventLoopFleet fleet = new EventLoopFleet(deployment, seed);
+    EventLoopFleet fleet = new EventLoopFleet(deployment, probesPerSecond, seed);
     List<ZoneName> zones = deployment.zones();
     for (int i = 0; i < gatewayCount; i++) {
       fleet.startMember("loop-" + i, zones.get(i % zones.size()));
@@ -102,7 +112,7 @@
             RETRY_SLACK,
             COLD_FACTOR,
             COLD_SLACK,
-            LIMITS);
+            limits);
     MonotonicClock clock = MonotonicClock.system();
     GatewayComponents components =
         new GatewayComponents(
--- a/experiments/src/main/java/org/cowslipstair/experiments/plan/Experiment.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/plan/Experiment.java
@@ -15,6 +15,8 @@
  *
  * @param utilizationPercents shares of all slots that are busy on average
  * @param serviceTimeUs mean of the exponential service time
+ * @param eventLoopProbesPerSecond probes that a backend server may get from all gateways on event
+ *     loops together
  * @param phaseMs length of one phase of one variant
  * @param settleMs time at the start of a phase that is not recorded
  * @param rounds number of phases of each variant, one after the other
@@ -28,6 +30,7 @@
     List<Variant> variants,
     long serviceTimeUs,
     double nonIdempotentShare,
+    double eventLoopProbesPerSecond,
     long phaseMs,
     long settleMs,
     int rounds,
@@ -36,6 +39,7 @@
   private static final int MAX_SERVICE_TIME_US = 10_000_000;
   private static final int MAX_PHASE_MS = 600_000;
   private static final int MAX_ROUNDS = 100;
+  private static final double MAX_PROBES_PER_SECOND = 10_000;
 
   /** Copies the lists. */
   public Experiment {
@@ -58,6 +62,7 @@
             list(fields, "variants", "policies such as broker+hedge", Variant::parse),
             fields.integer("service_time_us", 1, MAX_SERVICE_TIME_US, 20_000),
             fields.number("non_idempotent_share", 0, 1, 0),
+            fields.number("event_loop_probes_per_second", 0, MAX_PROBES_PER_SECOND, 60),
             fields.integer("phase_ms", 100, MAX_PHASE_MS, 10_000),
             fields.integer("settle_ms", 0, MAX_PHASE_MS, 2_000),
             (int) fields.integer("rounds", 1, MAX_ROUNDS, 1),
--- a/experiments/src/main/java/org/cowslipstair/experiments/plan/ExperimentRun.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/plan/ExperimentRun.java
@@ -69,7 +69,11 @@
         return;
       }
       try (EventLoopFleet eventLoop =
-          EventLoopFleet.start(fleet.deployment(), experiment.gateways(), experiment.seed())) {
+          EventLoopFleet.start(
+              fleet.deployment(),
+              experiment.gateways(),
+              experiment.eventLoopProbesPerSecond(),
+              experiment.seed())) {
         new ExperimentRun(experiment, fleet, Optional.of(eventLoop)).runAll(listener);
       }
     } catch (IOException | InvalidFileException | StoreException | TimeoutException e) {
--- a/experiments/src/test/java/org/cowslipstair/experiments/fleet/EventLoopFleetTest.java
+++ b/experiments/src/test/java/org/cowslipstair/experiments/fleet/EventLoopFleetTest.java
@@ -40,7 +40,7 @@
   @BeforeEach
   void start() throws Exception {
     fleet = TrialFleet.start(Deployment.example("kilele"), 1, ServiceTime.fixed(5_000), 1);
-    eventLoop = EventLoopFleet.start(fleet.deployment(), 3, 1);
+    eventLoop = EventLoopFleet.start(fleet.deployment(), 3, 60, 1);
   }
 
   @AfterEach
