gateway/: end connections of callers whose bytes never become a request

On the code before (EndlessCallerBytesTest, 11 cases):

fastBytesEnd, chunk extension without end on POST and on GET: Expected: less than <67108864L> but: <67109000L>, the connection still open slowHeadEnds, request line and header, a byte each 50 ms: timed out after 120 seconds

The HTTP library bounds the size of heads, trailers and bodies, and silence; it reads extensions of chunks without a bound, and a head as long as bytes come. A watch on the traffic of each connection closes it after 256 KiB that are no part of a body, and after head_timeout_ms (5 s) without the end of a head. Chunks without end on a route without a body, 400 MiB when they were reported, end by themselves on the code before: not reproduced. Ruled out: a filter in front of the parser, which would be a parser of our own.

Tests: adapters.http (185).

--- a/adapters/src/main/java/org/cowslipstair/adapters/http/CallReader.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/http/CallReader.java
@@ -58,7 +58,8 @@
   }
 
   /** Reads a call; a small body is read whole before this returns. */
-  CallRequest read(Request request, String requestId, InputStream content)
+  CallRequest read(
+      Request request, String requestId, InputStream content, CallerBytesWatch.Caller caller)
       throws BadRequestException {
     long arrivedNs = clock.nowNs();
     checkProtocol(request);
@@ -67,7 +68,7 @@
     String host = host(request);
     List<HeaderField> received = received(request);
     long deadlineNs = deadlineNs(received, arrivedNs);
-    BackendRequestBody body = body(request, content);
+    BackendRequestBody body = body(request, content, caller);
     return new CallRequest(
         requestId,
         request.getMethod(),
@@ -175,7 +176,9 @@
     return fields;
   }
 
-  private BackendRequestBody body(Request request, InputStream content) throws BadRequestException {
+  private BackendRequestBody body(
+      Request request, InputStream content, CallerBytesWatch.Caller caller)
+      throws BadRequestException {
     long lengthBytes = request.getLength();
     if (lengthBytes == 0
         || lengthBytes < 0 && !request.getHeaders().contains("Transfer-Encoding")) {
@@ -187,7 +190,7 @@
     if (lengthBytes > limits.maxBodyBytes()) {
       throw new BadRequestException(Fault.BODY_TOO_LARGE);
     }
-    CallerBodyStream stream = new CallerBodyStream(content, limits, clock);
+    CallerBodyStream stream = new CallerBodyStream(content, limits, clock, caller::onBodyBytes);
     if (lengthBytes > limits.bufferedBytes()) {
       return new BackendRequestBody.Streamed(stream, lengthBytes);
     }
--- a/adapters/src/main/java/org/cowslipstair/adapters/http/CallerBodyStream.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/http/CallerBodyStream.java
@@ -11,13 +11,20 @@
   private static final double NS_PER_SECOND = 1e9;
   private final CallerLimits limits;
   private final MonotonicClock clock;
+  private final Runnable onBytes;
   private long receivedBytes;
   private long waitedNs;
 
-  CallerBodyStream(InputStream in, CallerLimits limits, MonotonicClock clock) {
+  /**
+   * Creates a stream.
+   *
+   * @param onBytes called whenever bytes of the body have been read
+   */
+  CallerBodyStream(InputStream in, CallerLimits limits, MonotonicClock clock, Runnable onBytes) {
     super(in);
     this.limits = limits;
     this.clock = clock;
+    this.onBytes = onBytes;
   }
 
   @Override
@@ -35,6 +42,7 @@
       return count;
     }
     receivedBytes += count;
+    onBytes.run();
     if (receivedBytes > limits.maxBodyBytes()) {
       throw new TooLargeException();
     }
--- a/adapters/src/main/java/org/cowslipstair/adapters/http/CallerExchange.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/http/CallerExchange.java
@@ -3,6 +3,8 @@
 import jakarta.servlet.http.HttpServletRequest;
 import jakarta.servlet.http.HttpServletResponse;
 import java.io.IOException;
+import java.net.Socket;
+import java.nio.channels.SocketChannel;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.cowslipstair.logic.call.CallHandler;
@@ -13,6 +15,7 @@
 import org.cowslipstair.port.BackendTransport.BackendResponse;
 import org.cowslipstair.port.MonotonicClock;
 import org.eclipse.jetty.ee10.servlet.ServletContextRequest;
+import org.eclipse.jetty.io.EndPoint;
 
 /** Serves one HTTP request of a caller: reads the call, has it handled, writes how it ended. */
 final class CallerExchange {
@@ -21,6 +24,7 @@
   private final CallHandler handler;
   private final Supplier<String> requestIds;
   private final HangUpWatch hangUps;
+  private final CallerBytesWatch bytesWatch;
   private final BooleanSupplier closing;
 
   CallerExchange(
@@ -29,29 +33,46 @@
       MonotonicClock clock,
       Supplier<String> requestIds,
       HangUpWatch hangUps,
+      CallerBytesWatch bytesWatch,
       BooleanSupplier closing) {
     this.reader = new CallReader(limits, clock, requestIds);
     this.writer = new AnswerWriter(limits);
     this.handler = handler;
     this.requestIds = requestIds;
     this.hangUps = hangUps;
+    this.bytesWatch = bytesWatch;
     this.closing = closing;
   }
 
   /** Serves a request; blocks until its answer is written. */
   void serve(HttpServletRequest request, HttpServletResponse response) {
     ServletContextRequest core = ServletContextRequest.getServletContextRequest(request);
+    CallerBytesWatch.Caller caller = bytesWatch.caller(socket(core));
+    caller.onRequestBegun();
     try {
-      serveOrAbort(core, request, response);
+      serveOrAbort(core, request, response, caller);
     } catch (IOException | RuntimeException e) {
       abort(core, e);
     } catch (InterruptedException e) {
       abort(core, e);
+    } finally {
+      caller.onRequestEnded();
+    }
+  }
+
+  private static Socket socket(ServletContextRequest core) {
+    EndPoint connection = core.getConnectionMetaData().getConnection().getEndPoint();
+    if (connection.getTransport() instanceof SocketChannel channel) {
+      return channel.socket();
     }
+    throw new IllegalStateException("connection of a caller without a socket: " + connection);
   }
 
   private void serveOrAbort(
-      ServletContextRequest core, HttpServletRequest request, HttpServletResponse response)
+      ServletContextRequest core,
+      HttpServletRequest request,
+      HttpServletResponse response,
+      CallerBytesWatch.Caller caller)
       throws IOException, InterruptedException {
     String requestId;
     CallRequest call;
@@ -62,7 +83,7 @@
       return;
     }
     try {
-      call = reader.read(core, requestId, request.getInputStream());
+      call = reader.read(core, requestId, request.getInputStream(), caller);
     } catch (BadRequestException e) {
       writer.writeProblem(response, Problem.of(e.fault()), requestId, true);
       return;
--- a/adapters/src/main/java/org/cowslipstair/adapters/http/CallerLimits.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/http/CallerLimits.java
@@ -7,6 +7,7 @@
  * @param maxBodyBytes most bytes of a request body
  * @param bufferedBytes bodies up to this size are held in memory, so that a slow caller holds no
  *     slot
+ * @param headTimeoutMs longest time from the first byte of a request to the end of its head
  * @param idleTimeoutMs time after which a silent connection without a call is closed
  * @param bodyIdleTimeoutMs longest silence of a caller in the middle of a body, either way
  * @param minBodyBytesPerSecond slowest average rate at which a caller may send a body
@@ -16,6 +17,7 @@
     int maxHeadBytes,
     long maxBodyBytes,
     int bufferedBytes,
+    long headTimeoutMs,
     long idleTimeoutMs,
     long bodyIdleTimeoutMs,
     long minBodyBytesPerSecond,
@@ -25,6 +27,6 @@
 
   /** Returns the default limits. */
   public static CallerLimits defaults() {
-    return new CallerLimits(16 * KIB, 4 * GIB, 64 * KIB, 60_000, 10_000, KIB, 3_600_000);
+    return new CallerLimits(16 * KIB, 4 * GIB, 64 * KIB, 5_000, 60_000, 10_000, KIB, 3_600_000);
   }
 }
--- a/adapters/src/main/java/org/cowslipstair/adapters/http/CallerServer.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/http/CallerServer.java
@@ -16,6 +16,7 @@
 import org.eclipse.jetty.server.Connector;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.NetworkTrafficServerConnector;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -40,6 +41,7 @@
   private final CallerServerSettings settings;
   private final MonotonicClock clock;
   private final HangUpWatch hangUps;
+  private final CallerBytesWatch bytesWatch;
   private final CallerExchange exchange;
   private final Javalin javalin;
   private final AtomicInteger inProgress = new AtomicInteger();
@@ -60,8 +62,10 @@
     this.settings = settings;
     this.clock = clock;
     this.hangUps = new HangUpWatch(clock);
+    this.bytesWatch = new CallerBytesWatch(settings.limits().headTimeoutMs(), clock);
     this.exchange =
-        new CallerExchange(settings.limits(), handler, clock, requestIds, hangUps, () -> stopping);
+        new CallerExchange(
+            settings.limits(), handler, clock, requestIds, hangUps, bytesWatch, () -> stopping);
     this.javalin = Javalin.create(this::configure);
   }
 
@@ -93,7 +97,9 @@
     http.setRequestHeaderSize(limits.maxHeadBytes());
     http.setUriCompliance(PASSED_ON_AS_SENT);
     http.setIdleTimeout(limits.bodyIdleTimeoutMs());
-    ServerConnector connector = new ServerConnector(server, new HttpConnectionFactory(http));
+    NetworkTrafficServerConnector connector =
+        new NetworkTrafficServerConnector(server, new HttpConnectionFactory(http));
+    connector.setNetworkTrafficListener(bytesWatch);
     connector.setHost(settings.address().host());
     connector.setPort(settings.address().port());
     connector.setIdleTimeout(limits.idleTimeoutMs());
@@ -115,6 +121,7 @@
   public int start() {
     javalin.start();
     hangUps.start();
+    bytesWatch.start();
     port = connector().getLocalPort();
     return port;
   }
@@ -174,6 +181,7 @@
   @Override
   public void close() {
     hangUps.stop();
+    bytesWatch.stop();
     javalin.stop();
   }
 }
--- a/adapters/src/test/java/org/cowslipstair/adapters/http/AtMostOnceTest.java
+++ b/adapters/src/test/java/org/cowslipstair/adapters/http/AtMostOnceTest.java
@@ -117,7 +117,8 @@
   void answerCutAtEveryByteIsSeenAndTheRequestRanOnce(boolean reset, boolean chunked, int buffered)
       throws Exception {
     byte[] whole = (chunked ? CHUNKED : FIXED).getBytes(StandardCharsets.ISO_8859_1);
-    CallerLimits limits = new CallerLimits(16_384, 1 << 20, buffered, 9_000, 9_000, 1, 9_000);
+    CallerLimits limits =
+        new CallerLimits(16_384, 1 << 20, buffered, 9_000, 9_000, 9_000, 1, 9_000);
     try (RawBackend backend =
             new RawBackend(
                 link -> {
--- a/adapters/src/test/java/org/cowslipstair/adapters/http/StreamingTest.java
+++ b/adapters/src/test/java/org/cowslipstair/adapters/http/StreamingTest.java
@@ -31,7 +31,7 @@
   private static final long TOO_MUCH_BYTES = 256L * MIB;
 
   private static CallerLimits idle(long idleMs) {
-    return new CallerLimits(16_384, 4L << 30, BUFFERED_BYTES, 60_000, idleMs, 1, 60_000);
+    return new CallerLimits(16_384, 4L << 30, BUFFERED_BYTES, 5_000, 60_000, idleMs, 1, 60_000);
   }
 
   private static String postHead(long bytes) {
@@ -283,7 +283,7 @@
   @Test
   void callerThatTricklesABodyIsRefused() throws Exception {
     CallerLimits limits =
-        new CallerLimits(16_384, 4L << 30, BUFFERED_BYTES, 60_000, 300, 1_000_000, 60_000);
+        new CallerLimits(16_384, 4L << 30, BUFFERED_BYTES, 5_000, 60_000, 300, 1_000_000, 60_000);
     try (RawBackend backend = new RawBackend(link -> link.read());
         Edge edge = new Edge(backend.server(), limits);
         RawCaller caller = new RawCaller(edge.port())) {
--- a/gateway/src/main/java/org/cowslipstair/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/cowslipstair/gateway/GatewaySettings.java
@@ -76,6 +76,7 @@
                     (int) table.integer("max_head_bytes", 1_024, 1 << 20, defaults.maxHeadBytes()),
                     table.integer("max_body_bytes", 0, Long.MAX_VALUE, defaults.maxBodyBytes()),
                     (int) table.integer("buffered_bytes", 0, 1 << 20, defaults.bufferedBytes()),
+                    table.integer("head_timeout_ms", 1, MAX_STOP_MS, defaults.headTimeoutMs()),
                     table.integer("idle_timeout_ms", 1, MAX_STOP_MS, defaults.idleTimeoutMs()),
                     table.integer(
                         "body_idle_timeout_ms", 1, MAX_STOP_MS, defaults.bodyIdleTimeoutMs()),
