Messages about suspected requests fit into a frame, whatever the names of the servers

A gateway sends what another one does not know in messages of eight requests; with eight crashes each and names of 128 characters that are 9,394 bytes, and a frame that is no response ends its connection above 4,096. Two parts of a fleet that had been cut off from each other would then never have learned of each other's suspects. Not seen: names are 12 characters on the users' sites, and eight such requests take 2.2 KB there.

Three to a message now (3.5 KB at the most). The bound of a frame has a name that both sides use. Ruled out: larger frames from whoever connects.

--- a/edge/src/main/java/org/cowslipstair/edge/peer/PeerFrames.java
+++ b/edge/src/main/java/org/cowslipstair/edge/peer/PeerFrames.java
@@ -15,6 +15,9 @@
 
 /** Frames with a length in front, as gateways send them to each other. */
 public final class PeerFrames {
+  /** Maximum size of a frame that is not a response; a larger one ends its connection. */
+  public static final int MAX_REQUEST_BYTES = 4_096;
+
   private static final int LENGTH_FIELD_BYTES = 4;
 
   /**
--- a/edge/src/main/java/org/cowslipstair/edge/relay/RelayServer.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/RelayServer.java
@@ -31,9 +31,6 @@
   /** Maximum bytes queued for one subscriber; one that does not read is disconnected. */
   private static final int MAX_QUEUED_BYTES = 8 << 20;
 
-  /** Maximum size of a frame from another gateway. */
-  private static final int MAX_FRAME_BYTES = 4_096;
-
   /** Time in which a gateway that does not subscribe sends its first frame. */
   private static final long FIRST_FRAME_TIMEOUT_MS = 20;
 
@@ -72,7 +69,7 @@
                     accepted
                         .pipeline()
                         .addLast(
-                            PeerFrames.decoder(MAX_FRAME_BYTES),
+                            PeerFrames.decoder(PeerFrames.MAX_REQUEST_BYTES),
                             PeerFrames.encoder(),
                             new PeerHandler());
                   }
--- a/lib/src/main/java/org/cowslipstair/logic/quarantine/QuarantineSync.java
+++ b/lib/src/main/java/org/cowslipstair/logic/quarantine/QuarantineSync.java
@@ -34,7 +34,7 @@
   private static final int MAX_NEWS_PER_INTERVAL = 50;
 
   /** Maximum number of requests in a message, so that it fits into the frame of a peer. */
-  private static final int MAX_SUSPECTS_PER_MESSAGE = 8;
+  private static final int MAX_SUSPECTS_PER_MESSAGE = 3;
 
   private final String self;
   private final QuarantineTable table;
