A server that falls cold after its last probe gets no more than a cold one bears

What happened (logs of the gateways): at 15 s four of six gateways were killed or stopping; g-4 carried the load of all with its own sixth of the probe budget. From then on 14 to 20 of its 18 to 23 logged sends a second have no load report. b-17 fell cold without a word, and within 20 ms got eight logged requests without a probe (lines beyond 60 a second are not logged).

Cause: without a probe, a server counted as warm for 0.5 s after its last response, whatever it got meanwhile. On the code before:

ProbeBudgetTest.backendThatFallsColdAfterItsLastProbeGetsNoMoreThanAColdOneBears: less than <12.5> but: was <27.0>

Now it counts as warm for this gateway's share of half of what a cold one bears in a second, at least one request without a probe of its own; those with one do not count. Ruled out: the busy machine, which only spent the probes sooner; counting all requests, which would make requests that were probed at the same moment exclude each other.

Tests: ProbeBudgetTest, BackendRankingTest, CallOutcomesTest, PipeliningTest, RateLimitFleetTest, QuarantineFleetTest, LoadModelTest.

--- a/edge/src/main/java/org/cowslipstair/edge/exchange/BackendEligibility.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/BackendEligibility.java
@@ -62,7 +62,16 @@
     BackendStats stats = entry.stats();
     return stats.rateLimit().isPresent() && !needsProbe(entry)
         ? stats.isCold(nowNs)
-        : stats.canBeCold(nowNs);
+        : stats.canBeCold(maxUnprobedRequests(), nowNs);
+  }
+
+  /**
+   * Returns this gateway's share of half of what a cold backend server can handle in a second, so
+   * that one that becomes cold after its last probes is not overloaded; at least 1.
+   */
+  private int maxUnprobedRequests() {
+    int gateways = Math.max(1, context.fleet().gateways().get().size());
+    return Math.max(1, (int) (maxColdRequestsPerSecond / 2 / gateways));
   }
 
   /**
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/BackendSelection.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/BackendSelection.java
@@ -341,6 +341,9 @@
     if (eligibility.needsColdAllowance(backend.entry)) {
       context.fleet().coldAllowance().recordSend(backend.entry.stats().instance().name(), nowNs);
     }
+    if (backend.connection.isEmpty()) {
+      backend.entry.stats().recordUnprobedRequest();
+    }
     listener.onSelected(
         new Selected(
             backend.entry, usable, backend.permitUntilNs, backend.estimate.total(), backend.load));
--- a/edge/src/test/java/org/cowslipstair/edge/ProbeBudgetTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/ProbeBudgetTest.java
@@ -14,6 +14,14 @@
  */
 final class ProbeBudgetTest {
   private static final int REQUESTS = 20;
+  private static final int MANY_REQUESTS = 60;
+  private static final long NS_PER_SECOND = 1_000_000_000L;
+
+  /** Requests of the fixture that a probe precedes before the budget is spent. */
+  private static final int PROBED_REQUESTS = 2;
+
+  /** Requests per second that a cold backend server of the fixture bears. */
+  private static final double COLD_PER_SECOND = 12.5;
 
   @Test
   void backendWithoutAProbeResponseIsLimitedLikeAColdOne()
@@ -31,4 +39,21 @@
     assertThat(successCount, greaterThan(0));
     assertThat(successCount, lessThan(REQUESTS));
   }
+
+  /** Soak seed 312: one gateway carried the load of all, and a backend server fell cold. */
+  @Test
+  void backendThatFallsColdAfterItsLastProbeGetsNoMoreThanAColdOneBears()
+      throws IOException, InterruptedException {
+    GatewayFixture fixture = new GatewayFixture(1, 2);
+    long startNs = System.nanoTime();
+    try (RawClient client = fixture.client()) {
+      for (int i = 0; i < MANY_REQUESTS; i++) {
+        client.send(RawClient.get("/safe/x", "many-" + i));
+      }
+    }
+    long elapsedSeconds = 1 + (System.nanoTime() - startNs) / NS_PER_SECOND;
+    int runs = fixture.backend().receivedRequests.size();
+    fixture.close();
+    assertThat((double) runs - PROBED_REQUESTS, lessThan(elapsedSeconds * COLD_PER_SECOND));
+  }
 }
--- a/lib/src/main/java/org/cowslipstair/logic/placement/BackendStats.java
+++ b/lib/src/main/java/org/cowslipstair/logic/placement/BackendStats.java
@@ -48,6 +48,7 @@
   private Optional<LoadReport> report = Optional.empty();
   private long reportNs;
   private int sentSinceReport;
+  private int unprobedRequests;
   private Optional<RateLimitObservation> rateLimit = Optional.empty();
   private long limitedRequestCount;
   private long limitedProbeCount;
@@ -102,6 +103,7 @@
     hasProbeResponse = true;
     probeResponseNs = nowNs;
     unansweredSinceNs = nowNs;
+    unprobedRequests = 0;
     healthy = isHealthy;
     coldUntilNs = newColdUntilNs;
     unreachableCount = 0;
@@ -164,6 +166,11 @@
     return limitedProbeCount;
   }
 
+  /** Counts a request that is sent from here without a probe of its own. */
+  public void recordUnprobedRequest() {
+    unprobedRequests++;
+  }
+
   /** Counts a request sent from here. */
   public void recordRequestStart() {
     inFlight++;
@@ -206,9 +213,15 @@
   /**
    * Returns whether the backend server is cold or has not responded to a recent probe: a backend
    * server can become cold at any time.
+   *
+   * @param maxUnprobedRequests requests sent from here without a probe of their own since the last
+   *     probe response, after which that is not recent
    */
-  public boolean canBeCold(long nowNs) {
-    return isCold(nowNs) || !hasProbeResponse || nowNs - probeResponseNs > MAX_PROBE_AGE_NS;
+  public boolean canBeCold(int maxUnprobedRequests, long nowNs) {
+    return isCold(nowNs)
+        || !hasProbeResponse
+        || unprobedRequests >= maxUnprobedRequests
+        || nowNs - probeResponseNs > MAX_PROBE_AGE_NS;
   }
 
   /** Returns the share of recent requests that failed, between 0 and 1; it decays over time. */
--- a/lib/src/test/java/org/cowslipstair/logic/placement/BackendRankingTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/placement/BackendRankingTest.java
@@ -125,10 +125,10 @@
   @Test
   void backendWithoutARecentProbeResponseCanBeCold() {
     BackendStats stats = stats("b", LOCAL_ZONE.value());
-    assertThat(stats.canBeCold(SECOND_NS), is(true));
+    assertThat(stats.canBeCold(1, SECOND_NS), is(true));
     stats.recordProbe(true, 0, SECOND_NS);
-    assertThat(stats.canBeCold(SECOND_NS + SECOND_NS / 4), is(false));
-    assertThat(stats.canBeCold(2 * SECOND_NS), is(true));
+    assertThat(stats.canBeCold(1, SECOND_NS + SECOND_NS / 4), is(false));
+    assertThat(stats.canBeCold(1, 2 * SECOND_NS), is(true));
     assertThat(stats.isCold(2 * SECOND_NS), is(false));
   }
 
