Load tool: zone changes reach the event loop's gateways whatever the moment

Found on reading the diff again: the in-memory feed counted its revision up before the change was in, and told the newest revision with a watch that had timed out. A watcher that asked at that moment would have missed the change for good. Changes and reads exclude each other now, and a watch without changes stays where it was. Test: EventLoopFleetTest.

--- a/experiments/src/main/java/org/cowslipstair/experiments/fleet/DeploymentFeed.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/fleet/DeploymentFeed.java
@@ -57,7 +57,7 @@
   }
 
   /** Takes a zone out of service, or back in. */
-  void setZoneOut(ZoneName zone, boolean isOut) {
+  synchronized void setZoneOut(ZoneName zone, boolean isOut) {
     long changeRevision = revision.incrementAndGet();
     zoneChanges.put(zone, new ZoneChange(changeRevision, isOut));
     revisions.onNext(changeRevision);
@@ -65,11 +65,11 @@
 
   @Override
   public Single<Page> list(Collection collection, Optional<String> after, Freshness freshness) {
-    return Single.fromCallable(
-        () -> {
-          long listRevision = revision.get();
-          return new Page(items(collection), false, new StorePosition(0, listRevision));
-        });
+    return Single.fromCallable(() -> page(collection));
+  }
+
+  private synchronized Page page(Collection collection) {
+    return new Page(items(collection), false, new StorePosition(0, revision.get()));
   }
 
   private List<Item> items(Collection collection) {
@@ -145,22 +145,19 @@
 
   @Override
   public Single<Changes> watch(Collection collection, long afterRevision, long waitMs) {
-    Single<Changes> nothing = Single.fromCallable(() -> changes(collection, Long.MAX_VALUE));
+    Changes nothing = new Changes(List.of(), Set.of(), new StorePosition(0, afterRevision));
     if (collection != Collection.ZONES_OUT) {
-      return Single.timer(waitMs, TimeUnit.MILLISECONDS).flatMap(_ -> nothing);
+      return Single.timer(waitMs, TimeUnit.MILLISECONDS).map(_ -> nothing);
     }
     return revisions
         .filter(latest -> latest > afterRevision)
         .firstOrError()
-        .map(_ -> changes(collection, afterRevision))
-        .timeout(waitMs, TimeUnit.MILLISECONDS, nothing);
+        .map(_ -> zoneChangesSince(afterRevision))
+        .timeout(waitMs, TimeUnit.MILLISECONDS, Single.just(nothing));
   }
 
-  private Changes changes(Collection collection, long afterRevision) {
+  private synchronized Changes zoneChangesSince(long afterRevision) {
     long upTo = revision.get();
-    if (collection != Collection.ZONES_OUT) {
-      return new Changes(List.of(), Set.of(), new StorePosition(0, upTo));
-    }
     Set<String> deleted = new HashSet<>();
     zoneChanges.forEach(
         (zone, change) -> {
