--- a/lib/src/main/java/org/cowslipstair/logic/call/CallService.java
+++ b/lib/src/main/java/org/cowslipstair/logic/call/CallService.java
@@ -85,12 +85,12 @@
       CallRequest request, RoutingRule rule, Service service, long arrivedNs)
       throws InterruptedException {
     long timeoutNs = service.timeoutMs() * NS_PER_MS;
-    long unlimitedNs = Math.min(request.callerDeadlineNs(), arrivedNs + timeoutNs);
+    long ownDeadlineNs = Math.min(request.callerDeadlineNs(), arrivedNs + timeoutNs);
     Optional<PlannedStop> stop = hooks.plannedStop();
-    if (stop.isPresent() && !stop.get().accepts(arrivedNs, unlimitedNs, 0)) {
+    if (stop.isPresent() && !stop.get().accepts(arrivedNs, ownDeadlineNs, 0)) {
       return refuse(request, Optional.of(service.name()), NotRunReason.GATEWAY_STOPPING, arrivedNs);
     }
-    long deadlineNs = stop.map(begun -> begun.limit(unlimitedNs)).orElse(unlimitedNs);
+    long deadlineNs = stop.map(begun -> begun.limit(ownDeadlineNs)).orElse(ownDeadlineNs);
     boolean idempotent = !rule.oncePerKey() && isIdempotent(rule, request.method());
     CallContext call =
         new CallContext(
@@ -111,7 +111,7 @@
     }
     budgetsFor(service.name()).recordCall();
     CallResult result = rule.oncePerKey() ? runOncePerKey(call) : run(call, newProgress(call));
-    boolean isCutShort = deadlineNs < unlimitedNs && result instanceof MayHaveRun;
+    boolean isCutShort = deadlineNs < ownDeadlineNs && result instanceof MayHaveRun;
     if (isCutShort && ports.clock().nowNs() >= deadlineNs) {
       monitor.checkAtMost(Invariant.NO_CALL_CUT_OFF_BY_STOP, request.requestId(), 1, 0);
     }
