Known red: a page that ran beside a deadly request on three servers is held back for long

Traced to the simulation: it reported the requests that a crash cut off in the order of a HashSet of records with identity hashes, so a seed played another run in each process. They are reported in the order of their start now, and a seed plays the same run everywhere.

It is a test of its own, red; bounds, seeds and tries of the properties stay.

--- a/lib/src/test/java/org/cowslipstair/logic/quarantine/QuarantineFleetPropertyTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/quarantine/QuarantineFleetPropertyTest.java
@@ -10,6 +10,8 @@
 import net.jqwik.api.constraints.DoubleRange;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
 
 /**
  * Incident 6: a request crashes one server after another. Bounds both errors over random fleets:
@@ -71,6 +73,21 @@
       @ForAll @DoubleRange(min = 0.1, max = 1) double crashesPerSecond,
       @ForAll @DoubleRange(min = 0.5, max = 5) double deadlyPerSecond,
       @ForAll @IntRange(max = 20_000) int cutAtMs) {
+    assertHeldBackBesideOtherTroubles(seed, crashesPerSecond, deadlyPerSecond, cutAtMs);
+  }
+
+  /**
+   * Found beside a busy machine: a page that ran beside the deadly request on three servers is held
+   * back until its trial.
+   */
+  @Test
+  @Tag("known-red")
+  void pageThatRanBesideADeadlyRequestIsNotHeldBackForLong() {
+    assertHeldBackBesideOtherTroubles(36_721, 0.57, 4.94, 0);
+  }
+
+  private static void assertHeldBackBesideOtherTroubles(
+      long seed, double crashesPerSecond, double deadlyPerSecond, int cutAtMs) {
     SimulatedQuarantineFleet fleet = new SimulatedQuarantineFleet(seed, 3, 6, SERVERS);
     fleet.repeat(50, 0, DURATION_MS, () -> fleet.callInnocent(1_000));
     fleet.repeat(crashesPerSecond, 0, 30_000, fleet::crashServer);
--- a/lib/src/test/java/org/cowslipstair/logic/quarantine/SimulatedQuarantineFleet.java
+++ b/lib/src/test/java/org/cowslipstair/logic/quarantine/SimulatedQuarantineFleet.java
@@ -1,7 +1,7 @@
 package org.cowslipstair.logic.quarantine;
 
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.PriorityQueue;
@@ -276,7 +276,8 @@
   private void crash(Server server) {
     BackendProcess process = server.process;
     server.isUp = false;
-    Set<Running> lost = new HashSet<>(server.running);
+    // In the order of their start, so that a seed always plays the same run.
+    Set<Running> lost = new LinkedHashSet<>(server.running);
     server.running.clear();
     lost.forEach(running -> after(CRASH_REPORT_MS, () -> onLost(running, process)));
     after(
