Requests without a probe: half of what a cold server bears for each gateway, not its share of that

Cause: a gateway's share of the bound is one request a probe in fleets above six, so that a warm server counts as cold most of the time. Now each gateway may send half of what a cold server bears in a second. Tests: ProbeBudgetTest, CallOutcomesTest, BackendRankingTest.

--- a/edge/src/main/java/org/cowslipstair/edge/exchange/BackendEligibility.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/BackendEligibility.java
@@ -66,12 +66,11 @@
   }
 
   /**
-   * Returns this gateway's share of half of what a cold backend server can handle in a second, so
-   * that one that becomes cold after its last probes is not overloaded; at least 1.
+   * Returns half of what a cold backend server can handle in a second. Probes run short where few
+   * gateways carry the load of all, so that two of them do not overload a server that becomes cold.
    */
   private int maxUnprobedRequests() {
-    int gateways = Math.max(1, context.fleet().gateways().get().size());
-    return Math.max(1, (int) (maxColdRequestsPerSecond / 2 / gateways));
+    return Math.max(1, (int) (maxColdRequestsPerSecond / 2));
   }
 
   /**
