--- a/edge/src/main/java/org/cowslipstair/edge/exchange/BackendEligibility.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/BackendEligibility.java
@@ -66,8 +66,9 @@
   }
 
   /**
-   * Returns half of what a cold backend server can handle in a second. Probes run short where few
-   * gateways carry the load of all, so that two of them do not overload a server that becomes cold.
+   * Returns the number of requests without a probe after which a backend server counts as cold:
+   * half of what a cold one can handle in a second, so that two gateways together do not overload
+   * one that becomes cold unnoticed.
    */
   private int maxUnprobedRequests() {
     return Math.max(1, (int) (maxColdRequestsPerSecond / 2));
