Tell a gateway of a new rate limit until it confirms it

Cause: the issuer announces a new limit once and does not look whether it arrives. In each trace the first comparison of suspected requests went to a gateway that was still starting; the connection was refused, the gateway counted as unreachable for one second, and the announcement in that second was dropped for good. Callers could then see that gateway exceed the limit of the backend server once.

Why it works: news of a limit is now a request for no permit, which the receiver answers. Without an answer it is sent again after 100 ms, doubling to 6.4 s, while the limit and the gateway exist. A gateway that could not be reached is tried again after 250 ms instead of 1 s; it stays unreachable until it responds, so who issues permits does not change sooner. The message type for reports is gone.

Before: the new test (a gateway starts 300 ms after the limit became known) never learns the limit; after: both tests pass.

--- a/edge/src/main/java/org/cowslipstair/edge/exchange/BackendSelection.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/BackendSelection.java
@@ -11,7 +11,7 @@
 import org.cowslipstair.edge.backend.BackendEntry;
 import org.cowslipstair.edge.backend.Prober;
 import org.cowslipstair.edge.http.ServerConnection;
-import org.cowslipstair.edge.permit.PermitService;
+import org.cowslipstair.edge.permit.PermitListener;
 import org.cowslipstair.logic.placement.LatencyEstimate;
 import org.cowslipstair.logic.placement.PlacementRule;
 import org.cowslipstair.model.call.NotRunReason;
@@ -170,7 +170,7 @@
         .acquire(
             entry,
             needsProbe ? 2 : 1,
-            new PermitService.Listener() {
+            new PermitListener() {
               @Override
               public void onGranted(long validUntilNs) {
                 if (needsProbe && !finished) {
--- a/edge/src/main/java/org/cowslipstair/edge/peer/PeerNetwork.java
+++ b/edge/src/main/java/org/cowslipstair/edge/peer/PeerNetwork.java
@@ -20,7 +20,7 @@
  */
 public final class PeerNetwork implements PeerFrameHandler {
   /** Time between attempts to reach an unreachable gateway. */
-  private static final long RECONNECT_DELAY_NS = 1_000_000_000L;
+  private static final long RECONNECT_DELAY_NS = 250_000_000L;
 
   private static final long CHECK_INTERVAL_MS = 250;
 
--- a/edge/src/main/java/org/cowslipstair/edge/permit/PermitCodec.java
+++ b/edge/src/main/java/org/cowslipstair/edge/permit/PermitCodec.java
@@ -16,7 +16,6 @@
 final class PermitCodec {
   private static final int REQUEST = 18;
   private static final int REPLY = 19;
-  private static final int REPORT = 20;
   private static final int GRANTED = 1;
   private static final int UNLIMITED = 2;
   private static final int DENIED = 3;
@@ -26,7 +25,7 @@
 
   /** Returns whether a frame is a message about permits. */
   static boolean isPermitMessage(byte[] bytes) {
-    return bytes.length > 0 && bytes[0] >= REQUEST && bytes[0] <= REPORT;
+    return bytes.length > 0 && bytes[0] >= REQUEST && bytes[0] <= REPLY;
   }
 
   static byte[] encode(PermitMessage message) {
@@ -42,11 +41,6 @@
           packVerdict(packer, verdict);
           packObserved(packer, observed);
         }
-        case PermitMessage.Report(var backend, var observed) -> {
-          packer.packInt(REPORT);
-          packBackend(packer, backend);
-          packObserved(packer, Optional.of(observed));
-        }
       }
       return packer.toByteArray();
     } catch (IOException e) {
@@ -62,11 +56,6 @@
         case REPLY ->
             new PermitMessage.Reply(
                 unpacker.unpackLong(), unpackVerdict(unpacker), unpackObserved(unpacker));
-        case REPORT ->
-            new PermitMessage.Report(
-                unpackBackend(unpacker),
-                unpackObserved(unpacker)
-                    .orElseThrow(() -> new IllegalArgumentException("report without content")));
         default -> throw new MalformedPermitMessageException("unknown message type " + type);
       };
     } catch (IOException | RuntimeException e) {
--- a/edge/src/main/java/org/cowslipstair/edge/permit/PermitMessage.java
+++ b/edge/src/main/java/org/cowslipstair/edge/permit/PermitMessage.java
@@ -10,8 +10,8 @@
    * Requests a permit.
    *
    * @param id number of the request on its connection; the reply repeats it
-   * @param requests number of requests that the permit is for, probes included: 1 or 2; 0 to learn
-   *     only whether the receiver issues permits
+   * @param requests number of requests that the permit is for, probes included: 1 or 2; 0 to tell
+   *     what the sender has observed and to learn whether the receiver issues permits
    */
   record Request(long id, BackendProcess backend, int requests, Optional<Observed> observed)
       implements PermitMessage {
@@ -26,9 +26,6 @@
   /** Responds to a request for a permit. */
   record Reply(long id, Verdict verdict, Optional<Observed> observed) implements PermitMessage {}
 
-  /** Reports a change of a rate limit. */
-  record Report(BackendProcess backend, Observed observed) implements PermitMessage {}
-
   /**
    * Newest observation of the sender.
    *
--- a/edge/src/main/java/org/cowslipstair/edge/permit/PermitService.java
+++ b/edge/src/main/java/org/cowslipstair/edge/permit/PermitService.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 import org.cowslipstair.edge.backend.BackendEntry;
 import org.cowslipstair.edge.backend.BackendTable;
@@ -39,6 +40,11 @@
   /** Minimum time between two requests for permits of a backend server after a denial. */
   private static final long MIN_DENIAL_NS = 50_000_000L;
 
+  /** Time after which a gateway that has not confirmed news of a limit is told again; doubles. */
+  private static final long FIRST_RETRY_MS = 100;
+
+  private static final long MAX_RETRY_MS = 6_400;
+
   /** Stands for the response of a gateway that cannot be reached or does not respond. */
   private static final RateLimitCoordinator.Response NO_RESPONSE =
       new RateLimitCoordinator.Response.Denied(MIN_DENIAL_NS);
@@ -71,26 +77,10 @@
     }
   }
 
-  /** Receives the result of a request for a permit; exactly one method is called, once. */
-  public interface Listener {
-    /**
-     * One request may be sent.
-     *
-     * @param validUntilNs monotonic time until which it may be sent
-     */
-    void onGranted(long validUntilNs);
-
-    /** The backend server does not limit its rate any more. */
-    void onUnlimited();
-
-    /** No permit is available. */
-    void onDenied();
-  }
-
   private record PendingRequest(
       String gateway,
       BackendEntry entry,
-      Consumer<RateLimitCoordinator.Response> onResponse,
+      Consumer<Optional<RateLimitCoordinator.Response>> onResponse,
       ScheduledFuture<?> timeoutTimer) {}
 
   /** Creates a service. */
@@ -117,7 +107,7 @@
    *
    * @param requests number of requests that the permit is for: 2 if a probe comes before it
    */
-  public void acquire(BackendEntry entry, int requests, Listener listener) {
+  public void acquire(BackendEntry entry, int requests, PermitListener listener) {
     long nowNs = clock.nowNs();
     reconnectSkipped(entry);
     Optional<String> issuer = issuer(entry);
@@ -126,7 +116,11 @@
     } else if (issuer.get().equals(self)) {
       deliver(entry, respond(entry, requests, nowNs), nowNs, listener);
     } else {
-      send(issuer.get(), entry, requests, response -> deliver(entry, response, nowNs, listener));
+      send(
+          issuer.get(),
+          entry,
+          requests,
+          response -> deliver(entry, response.orElse(NO_RESPONSE), nowNs, listener));
     }
   }
 
@@ -152,11 +146,15 @@
 
   /** Tells the issuer that a response has changed the known rate limit of a backend server. */
   public void reportLimitChange(BackendEntry entry) {
+    reportToIssuer(entry, FIRST_RETRY_MS);
+  }
+
+  private void reportToIssuer(BackendEntry entry, long retryMs) {
     Optional<String> issuer = issuer(entry);
     if (issuer.equals(Optional.of(self))) {
       announceNewLimit(entry);
-    } else {
-      issuer.ifPresent(gateway -> report(entry, gateway));
+    } else if (issuer.isPresent() && isKnown(entry)) {
+      tell(issuer.get(), entry, retryMs, nextRetryMs -> reportToIssuer(entry, nextRetryMs));
     }
   }
 
@@ -172,32 +170,53 @@
     if (isNew) {
       fleet.get().names().stream()
           .filter(gateway -> !gateway.equals(self))
-          .forEach(gateway -> report(entry, gateway));
+          .forEach(gateway -> announce(gateway, entry, FIRST_RETRY_MS));
     }
   }
 
-  private void report(BackendEntry entry, String gateway) {
-    Optional<PermitMessage.Observed> observed = observed(entry);
-    Optional<PeerLink> link = network.open(gateway);
-    if (link.isPresent() && observed.isPresent()) {
-      PermitMessage report = new PermitMessage.Report(backend(entry), observed.get());
-      link.get().send(PermitCodec.encode(report), false);
+  private void announce(String gateway, BackendEntry entry, long retryMs) {
+    boolean isLimited = isKnown(entry) && entry.stats().rateLimit().isPresent();
+    if (isLimited && fleet.get().names().contains(gateway)) {
+      tell(gateway, entry, retryMs, nextRetryMs -> announce(gateway, entry, nextRetryMs));
     }
   }
 
+  /**
+   * Tells another gateway what is known of a rate limit.
+   *
+   * @param onUnconfirmed called if the gateway has not confirmed it, after the time to retry, with
+   *     the next such time
+   */
+  private void tell(String gateway, BackendEntry entry, long retryMs, LongConsumer onUnconfirmed) {
+    send(
+        gateway,
+        entry,
+        0,
+        response -> {
+          if (response.isEmpty()) {
+            long nextRetryMs = Math.min(MAX_RETRY_MS, 2 * retryMs);
+            loop.schedule(() -> onUnconfirmed.accept(nextRetryMs), retryMs, TimeUnit.MILLISECONDS);
+          }
+        });
+  }
+
+  private boolean isKnown(BackendEntry entry) {
+    return table.find(name(entry)).filter(entry::equals).isPresent();
+  }
+
   /**
    * Requests a permit from another gateway.
    *
-   * @param onResponse called once with the response; with a denial if there is none
+   * @param onResponse called once with the response; empty if there is none
    */
   private void send(
       String gateway,
       BackendEntry entry,
       int requests,
-      Consumer<RateLimitCoordinator.Response> onResponse) {
+      Consumer<Optional<RateLimitCoordinator.Response>> onResponse) {
     Optional<PeerLink> link = network.open(gateway);
     if (link.isEmpty()) {
-      onResponse.accept(NO_RESPONSE);
+      onResponse.accept(Optional.empty());
       return;
     }
     lastRequestId++;
@@ -213,7 +232,7 @@
   private void onTimeout(long id) {
     PendingRequest pending = pendingRequests.remove(id);
     if (pending != null) {
-      pending.onResponse.accept(NO_RESPONSE);
+      pending.onResponse.accept(Optional.empty());
     }
   }
 
@@ -234,22 +253,25 @@
     }
     pending.timeoutTimer.cancel(false);
     observed.ifPresent(observation -> record(pending.entry, observation));
-    pending.onResponse.accept(
-        switch (verdict) {
-          case PermitMessage.Verdict.Granted _ -> new RateLimitCoordinator.Response.Granted();
-          case PermitMessage.Verdict.Unlimited _ -> new RateLimitCoordinator.Response.Unlimited();
-          case PermitMessage.Verdict.Denied(long availableInMs) ->
-              new RateLimitCoordinator.Response.Denied(availableInMs * NS_PER_MS);
-          case PermitMessage.Verdict.NotIssuer _ ->
-              new RateLimitCoordinator.Response.NotIssuer(Optional.empty());
-        });
+    pending.onResponse.accept(Optional.of(response(verdict)));
+  }
+
+  private static RateLimitCoordinator.Response response(PermitMessage.Verdict verdict) {
+    return switch (verdict) {
+      case PermitMessage.Verdict.Granted _ -> new RateLimitCoordinator.Response.Granted();
+      case PermitMessage.Verdict.Unlimited _ -> new RateLimitCoordinator.Response.Unlimited();
+      case PermitMessage.Verdict.Denied(long availableInMs) ->
+          new RateLimitCoordinator.Response.Denied(availableInMs * NS_PER_MS);
+      case PermitMessage.Verdict.NotIssuer _ ->
+          new RateLimitCoordinator.Response.NotIssuer(Optional.empty());
+    };
   }
 
   private void deliver(
       BackendEntry entry,
       RateLimitCoordinator.Response response,
       long requestedNs,
-      Listener listener) {
+      PermitListener listener) {
     switch (response) {
       case RateLimitCoordinator.Response.Granted _ ->
           listener.onGranted(requestedNs + VALIDITY_MS * NS_PER_MS);
@@ -260,24 +282,18 @@
     }
   }
 
-  private void deny(BackendEntry entry, long availableInNs, Listener listener) {
+  private void deny(BackendEntry entry, long availableInNs, PermitListener listener) {
     coordinator.recordDenial(name(entry), availableInNs, clock.nowNs());
     listener.onDenied();
   }
 
   @Override
   public Optional<byte[]> onFrame(byte[] frame) throws IOException {
-    Optional<PermitMessage> reply =
-        switch (PermitCodec.decode(frame)) {
-          case PermitMessage.Request request -> Optional.of(reply(request));
-          case PermitMessage.Report(var backend, var observed) -> {
-            find(backend).ifPresent(entry -> onReport(entry, observed));
-            yield Optional.empty();
-          }
-          case PermitMessage.Reply _ ->
-              throw new MalformedPermitMessageException("reply without a request");
-        };
-    return reply.map(PermitCodec::encode);
+    return switch (PermitCodec.decode(frame)) {
+      case PermitMessage.Request request -> Optional.of(PermitCodec.encode(reply(request)));
+      case PermitMessage.Reply _ ->
+          throw new MalformedPermitMessageException("reply without a request");
+    };
   }
 
   private PermitMessage reply(PermitMessage.Request request) {
@@ -338,19 +354,12 @@
         entry,
         0,
         response -> {
-          if (response instanceof RateLimitCoordinator.Response.NotIssuer) {
+          if (response.orElse(NO_RESPONSE) instanceof RateLimitCoordinator.Response.NotIssuer) {
             coordinator.recordConfirmation(name(entry), gateway);
           }
         });
   }
 
-  private void onReport(BackendEntry entry, PermitMessage.Observed observed) {
-    record(entry, observed);
-    if (issuer(entry).equals(Optional.of(self))) {
-      announceNewLimit(entry);
-    }
-  }
-
   private void record(BackendEntry entry, PermitMessage.Observed observed) {
     long observedNs = clock.nowNs() - observed.ageMs() * NS_PER_MS;
     entry.stats().recordRateLimit(new RateLimitObservation(observed.limit(), observedNs));
--- a/edge/src/test/java/org/cowslipstair/edge/GatewayFixture.java
+++ b/edge/src/test/java/org/cowslipstair/edge/GatewayFixture.java
@@ -80,19 +80,36 @@
    */
   GatewayFixture(int backendCount, double probesPerSecond)
       throws IOException, InterruptedException {
-    this(backendCount, 1, probesPerSecond, true, _ -> {});
+    this(backendCount, 1, 0, probesPerSecond, true, _ -> {});
     awaitReady();
   }
 
   /** Starts a fleet of gateways in one zone and waits until all are ready. */
   static GatewayFixture fleet(int gatewayCount, int backendCount)
       throws IOException, InterruptedException {
+    return fleet(gatewayCount, 0, backendCount);
+  }
+
+  /**
+   * Starts a fleet of gateways in one zone and waits until all are ready.
+   *
+   * @param absentCount number of other gateways that the fleet knows but that do not run yet
+   */
+  static GatewayFixture fleet(int gatewayCount, int absentCount, int backendCount)
+      throws IOException, InterruptedException {
     GatewayFixture fixture =
-        new GatewayFixture(backendCount, gatewayCount, UNLIMITED_PROBES_PER_SECOND, true, _ -> {});
+        new GatewayFixture(
+            backendCount, gatewayCount, absentCount, UNLIMITED_PROBES_PER_SECOND, true, _ -> {});
     fixture.awaitReady();
     return fixture;
   }
 
+  /** Starts the first gateway that does not run yet and waits until it is ready. */
+  void startAbsent() throws IOException, InterruptedException {
+    gateways.add(start(gatewayEntries.get(gateways.size()), UNLIMITED_PROBES_PER_SECOND, _ -> {}));
+    awaitReady();
+  }
+
   private void awaitReady() throws InterruptedException {
     while (!gateways.stream().allMatch(FrontGateway::isReady)) {
       TimeUnit.MILLISECONDS.sleep(1);
@@ -108,32 +125,35 @@
   GatewayFixture(
       int backendCount, double probesPerSecond, boolean hasConfiguration, IntConsumer onListening)
       throws IOException, InterruptedException {
-    this(backendCount, 1, probesPerSecond, hasConfiguration, onListening);
+    this(backendCount, 1, 0, probesPerSecond, hasConfiguration, onListening);
   }
 
   /**
    * Starts gateways that all know each other.
    *
+   * @param absentCount number of other gateways that they know
    * @param hasConfiguration whether the store has a configuration
    * @param onListening receives each port for callers before connections are accepted
    */
   private GatewayFixture(
       int backendCount,
       int gatewayCount,
+      int absentCount,
       double probesPerSecond,
       boolean hasConfiguration,
       IntConsumer onListening)
       throws IOException, InterruptedException {
     this.hasConfiguration = hasConfiguration;
-    this.group = new MultiThreadIoEventLoopGroup(gatewayCount, NioIoHandler.newFactory());
+    this.group =
+        new MultiThreadIoEventLoopGroup(gatewayCount + absentCount, NioIoHandler.newFactory());
     for (int i = 0; i < backendCount; i++) {
       backends.add(new ScriptedBackend("b-" + i));
     }
-    for (int i = 0; i < gatewayCount; i++) {
+    for (int i = 0; i < gatewayCount + absentCount; i++) {
       String name = i == 0 ? "g" : "g-" + i;
       gatewayEntries.add(new GatewayEntry(name, ZONE, new HostPort("127.0.0.1", freePort())));
     }
-    for (GatewayEntry entry : gatewayEntries) {
+    for (GatewayEntry entry : gatewayEntries.subList(0, gatewayCount)) {
       gateways.add(start(entry, probesPerSecond, onListening));
     }
     this.gateway = gateways.getFirst();
--- a/edge/src/test/java/org/cowslipstair/edge/RateLimitFleetTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/RateLimitFleetTest.java
@@ -91,11 +91,33 @@
     }
     TimeUnit.MILLISECONDS.sleep(500);
     for (int i = 0; i < GATEWAYS; i++) {
-      JsonNode backend = fixture.state(i).path("backends").path(0);
-      assertThat(backend.path("rateLimitPerSecond").asDouble(), is(LIMIT_PER_SECOND));
+      assertThat(knownLimit(i), is(LIMIT_PER_SECOND));
     }
   }
 
+  /** A gateway that cannot be reached when the limit becomes known is told later. */
+  @Test
+  void gatewayThatStartsAfterTheFirstResponseLearnsTheLimitFromTheOthers()
+      throws IOException, InterruptedException {
+    fixture = GatewayFixture.fleet(GATEWAYS - 1, 1, 1);
+    fixture.backend().script(ScriptedBackend.Script.limited(LIMIT_PER_SECOND));
+    try (RawClient client = fixture.client()) {
+      assertThat(client.send(RawClient.get("/safe/x", "first")).status(), is(200));
+    }
+    TimeUnit.MILLISECONDS.sleep(300);
+    fixture.startAbsent();
+    long endNs = System.nanoTime() + NOTICE_NS;
+    while (knownLimit(GATEWAYS - 1) == 0 && System.nanoTime() < endNs) {
+      TimeUnit.MILLISECONDS.sleep(50);
+    }
+    assertThat(knownLimit(GATEWAYS - 1), is(LIMIT_PER_SECOND));
+  }
+
+  private double knownLimit(int gateway) throws IOException {
+    JsonNode backend = fixture.state(gateway).path("backends").path(0);
+    return backend.path("rateLimitPerSecond").asDouble();
+  }
+
   /** A gateway that gets no permits learns from the issuer that the limit has ended. */
   @Test
   void withdrawnLimitEndsOnAllGateways()
--- a/edge/src/test/java/org/cowslipstair/edge/permit/PermitCodecTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/permit/PermitCodecTest.java
@@ -30,7 +30,7 @@
         new PermitMessage.Reply(7, new PermitMessage.Verdict.Unlimited(), unlimited),
         new PermitMessage.Reply(7, new PermitMessage.Verdict.Denied(250), limited),
         new PermitMessage.Reply(7, new PermitMessage.Verdict.NotIssuer(), Optional.empty()),
-        new PermitMessage.Report(BACKEND, unlimited.get()));
+        new PermitMessage.Request(9, BACKEND, 0, unlimited));
   }
 
   @ParameterizedTest
