List a collection again when what the store answered cannot be applied

Found by reading for "an unexpected error ends a process": the follower of a collection handled what the store answered in a success handler. An unexpected exception there, from a value nobody thought of, went to the library's last resort, and the follower never called the store again: no later change of that collection would be in force on this gateway, nor on those that it supplies, since it went on to tell them that it is up to date.

Now the error is logged, the collection is listed again after 1 s, doubling to 16 s, and until then the gateway does not claim to be up to date, so that others turn to another watcher or to the store.

Tests, both failed before: CollectionFollowerTest.listsAgainWhenAChangeCannotBeApplied (no further call), StoreWatchTest.collectionWhoseChangeCannotBeAppliedIsNotUpToDateUntilListedAgain (claimed to be).

--- a/edge/src/main/java/org/cowslipstair/edge/sync/CollectionFollower.java
+++ b/edge/src/main/java/org/cowslipstair/edge/sync/CollectionFollower.java
@@ -17,8 +17,9 @@
 /**
  * Follows one collection: lists it, then watches it from the revision of the list. After a change
  * it pauses before it watches again, so that changes in quick succession cost one call. Lists again
- * if the store has lost the history or has come back from a copy. After a failed call it is
- * suspended until {@link #resume}. Confined to its event loop.
+ * if the store has lost the history or has come back from a copy, and if an unexpected error keeps
+ * this gateway from applying what it read. After a failed call it is suspended until {@link
+ * #resume}. Confined to its event loop.
  */
 public final class CollectionFollower {
   private static final Logger LOG = Logger.getLogger(CollectionFollower.class);
@@ -26,6 +27,11 @@
   /** Maximum wait of one watch; the store's own limit is 30 s. */
   private static final long MAX_WATCH_MS = 29_000;
 
+  /** Time after which the collection is listed again after an unexpected error; doubles. */
+  private static final long FIRST_ERROR_RETRY_MS = 1_000;
+
+  private static final long MAX_ERROR_RETRY_MS = 16_000;
+
   private final Collection collection;
   private final ObjectFeed feed;
   private final Scheduler scheduler;
@@ -35,6 +41,7 @@
   private List<Item> listedItems = new ArrayList<>();
   private StorePosition listPosition = StorePosition.none();
   private long revision;
+  private long errorRetryMs = FIRST_ERROR_RETRY_MS;
   private boolean failed;
   private boolean suspended;
   private Freshness freshness = Freshness.CACHED;
@@ -116,7 +123,20 @@
     pendingCall.set(
         feed.list(collection, after, freshness)
             .observeOn(scheduler)
-            .subscribe(this::handlePage, cause -> handleFailure(cause, true)));
+            .subscribe(
+                page -> retryOnError(() -> handlePage(page)), cause -> handleFailure(cause, true)));
+  }
+
+  /** Lists again later if what the store has answered cannot be applied. */
+  private void retryOnError(Runnable handler) {
+    try {
+      handler.run();
+    } catch (RuntimeException e) {
+      LOG.errorf(
+          e, "store: %s: cannot be applied, listed again in %d ms", collection, errorRetryMs);
+      schedule(this::listLatest, errorRetryMs);
+      errorRetryMs = Math.min(MAX_ERROR_RETRY_MS, 2 * errorRetryMs);
+    }
   }
 
   private void handlePage(ObjectFeed.Page page) {
@@ -135,6 +155,7 @@
     handleSuccess();
     revision = listPosition.revision();
     listener.onListed(collection, listedItems, listPosition);
+    errorRetryMs = FIRST_ERROR_RETRY_MS;
     watch();
   }
 
@@ -142,7 +163,9 @@
     pendingCall.set(
         feed.watch(collection, revision, MAX_WATCH_MS)
             .observeOn(scheduler)
-            .subscribe(this::handleChanges, cause -> handleFailure(cause, false)));
+            .subscribe(
+                changes -> retryOnError(() -> handleChanges(changes)),
+                cause -> handleFailure(cause, false)));
   }
 
   private void listLatest() {
--- a/edge/src/main/java/org/cowslipstair/edge/sync/StoreWatch.java
+++ b/edge/src/main/java/org/cowslipstair/edge/sync/StoreWatch.java
@@ -139,13 +139,15 @@
     @Override
     public void onListed(
         Collection collection, List<ObjectFeed.Item> items, StorePosition position) {
-      outdatedCollections.remove(collection);
       listener.onListed(collection, items, position, graceNs());
+      outdatedCollections.remove(collection);
     }
 
     @Override
     public void onChanged(Collection collection, ObjectFeed.Changes changes) {
+      outdatedCollections.add(collection);
       listener.onChanged(collection, changes, graceNs());
+      outdatedCollections.remove(collection);
     }
 
     @Override
--- a/edge/src/test/java/org/cowslipstair/edge/sync/CollectionFollowerTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/sync/CollectionFollowerTest.java
@@ -22,9 +22,11 @@
 
 final class CollectionFollowerTest {
   private static final long GATHER_MS = 800;
+  private static final long ERROR_RETRY_MS = 1_000;
   private final TestScheduler scheduler = new TestScheduler();
   private final FakeFeed feed = new FakeFeed();
   private final List<String> events = new ArrayList<>();
+  private boolean isFailing;
   private final CollectionFollower follower =
       new CollectionFollower(Collection.BACKENDS, feed, scheduler, new Recorder(), GATHER_MS);
 
@@ -138,17 +140,46 @@
         events, contains("listed 0 at 7", "lost", "lost", "lost", "regained", "listed 0 at 9"));
   }
 
+  /** Without this, no later change would be in force on this gateway until it restarts. */
+  @Test
+  void listsAgainWhenAChangeCannotBeApplied() {
+    follower.start(Freshness.CACHED);
+    completeList(7, false);
+    isFailing = true;
+    feed.watches
+        .remove()
+        .onSuccess(new Changes(List.of(item("a")), Set.of(), new StorePosition(0, 8)));
+    advance(ERROR_RETRY_MS);
+    assertThat(feed.calls, contains("list CACHED", "watch 7", "list LATEST"));
+    completeList(8, false, item("a"));
+    advance(ERROR_RETRY_MS);
+    assertThat("later", feed.lists.size(), is(0));
+    advance(ERROR_RETRY_MS);
+    isFailing = false;
+    completeList(9, false, item("b"));
+    assertThat(events, contains("listed 0 at 7", "listed 1 at 9"));
+    assertThat(feed.calls.getLast(), is("watch 9"));
+  }
+
   private final class Recorder implements CollectionFollower.Listener {
     @Override
     public void onListed(Collection collection, List<Item> items, StorePosition position) {
+      failIfTold();
       events.add("listed %d at %d".formatted(items.size(), position.revision()));
     }
 
     @Override
     public void onChanged(Collection collection, ObjectFeed.Changes changes) {
+      failIfTold();
       events.add("changed " + changes.items().size());
     }
 
+    private void failIfTold() {
+      if (isFailing) {
+        throw new IllegalStateException("cannot be applied");
+      }
+    }
+
     @Override
     public void onLost(Collection collection, String cause) {
       events.add("lost");
--- a/edge/src/test/java/org/cowslipstair/edge/sync/StoreWatchTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/sync/StoreWatchTest.java
@@ -6,9 +6,11 @@
 import io.reactivex.rxjava3.schedulers.TestScheduler;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.cowslipstair.model.traffic.StorePosition;
 import org.cowslipstair.port.ObjectFeed;
+import org.cowslipstair.port.ObjectFeed.Changes;
 import org.cowslipstair.port.ObjectFeed.Collection;
 import org.cowslipstair.port.ObjectFeed.Page;
 import org.cowslipstair.port.StoreException;
@@ -19,6 +21,7 @@
   private final TestScheduler scheduler = new TestScheduler();
   private final FakeFeed feed = new FakeFeed();
   private long lastGraceNs;
+  private boolean isFailing;
   private final StoreWatch watch =
       new StoreWatch(
           feed,
@@ -81,6 +84,20 @@
     assertThat(watch.isUpToDate(), is(true));
   }
 
+  /** Others take what this gateway relays for current as long as it says so. */
+  @Test
+  void collectionWhoseChangeCannotBeAppliedIsNotUpToDateUntilListedAgain() {
+    startAndCompleteLists();
+    isFailing = true;
+    feed.watches.remove().onSuccess(new Changes(List.of(), Set.of("a"), new StorePosition(0, 2)));
+    scheduler.triggerActions();
+    assertThat(watch.isUpToDate(), is(false));
+    isFailing = false;
+    scheduler.advanceTimeBy(1, TimeUnit.SECONDS);
+    completeList();
+    assertThat(watch.isUpToDate(), is(true));
+  }
+
   @Test
   void longOutageGrantsAGrace() {
     startAndCompleteLists();
@@ -119,11 +136,18 @@
     @Override
     public void onListed(
         Collection collection, List<ObjectFeed.Item> items, StorePosition position, long graceNs) {
-      lastGraceNs = graceNs;
+      record(graceNs);
     }
 
     @Override
     public void onChanged(Collection collection, ObjectFeed.Changes changes, long graceNs) {
+      record(graceNs);
+    }
+
+    private void record(long graceNs) {
+      if (isFailing) {
+        throw new IllegalStateException("cannot be applied");
+      }
       lastGraceNs = graceNs;
     }
   }
