Go on with repeated tasks after an unexpected error

They are repeated by one class now, which logs the error and runs the task again after 1 s. The directory of gateways already schedules its next list first.

--- /dev/null
+++ b/edge/src/main/java/org/cowslipstair/edge/loop/package-info.java
@@ -0,0 +1,5 @@
+/** Tasks on an event loop. */
+@NullMarked
+package org.cowslipstair.edge.loop;
+
+import org.jspecify.annotations.NullMarked;
--- a/edge/src/main/java/org/cowslipstair/edge/peer/PeerNetwork.java
+++ b/edge/src/main/java/org/cowslipstair/edge/peer/PeerNetwork.java
@@ -9,8 +9,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import org.cowslipstair.edge.loop.RepeatedTask;
 import org.cowslipstair.model.config.HostPort;
 import org.cowslipstair.port.MonotonicClock;
 
@@ -31,7 +31,7 @@
   private final Map<String, PeerLink> links = new HashMap<>();
   private final Map<String, Long> reconnectAtNs = new HashMap<>();
   private final Set<String> unreachableGateways = new HashSet<>();
-  private boolean isCheckScheduled;
+  private boolean isChecking;
 
   /** A service that exchanges frames with the same service of other gateways. */
   public interface Service {
@@ -128,27 +128,24 @@
             });
     links.put(gateway, link);
     link.open(loop, address.get());
-    scheduleCheck();
+    startChecks();
     return Optional.of(link);
   }
 
-  private void scheduleCheck() {
-    if (!isCheckScheduled) {
-      isCheckScheduled = true;
-      loop.schedule(this::checkAll, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+  private void startChecks() {
+    if (!isChecking) {
+      isChecking = true;
+      RepeatedTask.start(loop, "peers", this::checkAll);
     }
   }
 
-  private void checkAll() {
-    isCheckScheduled = false;
+  private long checkAll() {
     long nowNs = clock.nowNs();
     for (Map.Entry<String, PeerLink> entry : List.copyOf(links.entrySet())) {
       if (!entry.getValue().check(nowNs)) {
         links.remove(entry.getKey());
       }
     }
-    if (!links.isEmpty()) {
-      scheduleCheck();
-    }
+    return CHECK_INTERVAL_MS;
   }
 }
--- a/edge/src/main/java/org/cowslipstair/edge/quarantine/QuarantineService.java
+++ b/edge/src/main/java/org/cowslipstair/edge/quarantine/QuarantineService.java
@@ -4,9 +4,9 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.cowslipstair.edge.loop.RepeatedTask;
 import org.cowslipstair.edge.peer.PeerNetwork;
 import org.cowslipstair.logic.quarantine.QuarantineMessage;
 import org.cowslipstair.logic.quarantine.QuarantineSync;
@@ -58,12 +58,7 @@
 
   /** Starts to compare what this gateway knows with other gateways. */
   public void start() {
-    loop.execute(this::comparePeriodically);
-  }
-
-  private void comparePeriodically() {
-    long delayMs = sync.compare(clock.nowNs());
-    loop.schedule(this::comparePeriodically, delayMs, TimeUnit.MILLISECONDS);
+    loop.execute(() -> RepeatedTask.start(loop, "quarantine", () -> sync.compare(clock.nowNs())));
   }
 
   /** Returns whether nothing is known about any request. */
--- a/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import org.cowslipstair.edge.FrontSettings;
 import org.cowslipstair.edge.GatewayComponents;
+import org.cowslipstair.edge.loop.RepeatedTask;
 import org.cowslipstair.edge.peer.PeerFrameHandler;
 import org.cowslipstair.edge.sync.StoreWatch;
 import org.cowslipstair.logic.traffic.OutageTracker;
@@ -132,7 +133,7 @@
         () -> {
           subscriptions.openSeeds();
           directory.start(self);
-          checkPeriodically();
+          RepeatedTask.start(loop, "relay", this::check);
           if (!settings.relay().firstStart()) {
             schedule(this::listCached, CACHED_LIST_DELAY_MS);
           }
@@ -182,10 +183,10 @@
     }
   }
 
-  private void checkPeriodically() {
+  private long check() {
     updateWatching();
     publishProof(components.clock().nowNs());
-    schedule(this::checkPeriodically, CHECK_INTERVAL_MS);
+    return CHECK_INTERVAL_MS;
   }
 
   /** Starts to watch the store if this gateway has to, and stops if others supply it. */
