Reject suspected requests with a negative number of trials

Such a message is malformed now and ends its connection, like all others that cannot be read. Ages are bounded, since one of 2^63 ms overflowed into the future, where nothing expires (by reading).

--- a/edge/src/main/java/org/cowslipstair/edge/quarantine/QuarantineCodec.java
+++ b/edge/src/main/java/org/cowslipstair/edge/quarantine/QuarantineCodec.java
@@ -25,6 +25,9 @@
   private static final int SAME = 34;
   private static final long NS_PER_MS = 1_000_000L;
 
+  /** Ages above it count as this one. */
+  private static final long MAX_AGE_MS = 30 * 86_400_000L;
+
   private QuarantineCodec() {}
 
   /** Returns whether a frame is a message about suspected requests. */
@@ -105,6 +108,6 @@
   }
 
   private static long unpackTimeNs(MessageUnpacker unpacker, long nowNs) throws IOException {
-    return nowNs - Math.max(0, unpacker.unpackLong()) * NS_PER_MS;
+    return nowNs - Math.clamp(unpacker.unpackLong(), 0, MAX_AGE_MS) * NS_PER_MS;
   }
 }
--- a/lib/src/main/java/org/cowslipstair/logic/quarantine/SuspectRequest.java
+++ b/lib/src/main/java/org/cowslipstair/logic/quarantine/SuspectRequest.java
@@ -38,8 +38,14 @@
     }
   }
 
-  /** Copies the crashes and keeps only the newest ones if there are too many. */
+  /**
+   * Validates the number of trials, copies the crashes and keeps only the newest ones if there are
+   * too many.
+   */
   public SuspectRequest {
+    if (trials < 0) {
+      throw new IllegalArgumentException("suspect with " + trials + " trials");
+    }
     if (crashes.size() > MAX_CRASHES) {
       Map<BackendProcess, Crash> newest = new HashMap<>();
       crashes.entrySet().stream()
