Reject configurations, services and servers whose values cannot be meant

The records reject such values now. What they belong to is unreadable: the last valid configuration stays in force and the fault is logged, as with any other invalid object.

--- a/edge/src/main/java/org/cowslipstair/edge/relay/RelayCodec.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/RelayCodec.java
@@ -36,6 +36,9 @@
   private static final int UNREADABLE = 0;
   private static final long NS_PER_MS = 1_000_000L;
 
+  /** Longer durations count as this one. */
+  private static final long MAX_DURATION_MS = 86_400_000;
+
   private final MonotonicClock clock;
 
   RelayCodec(MonotonicClock clock) {
@@ -90,11 +93,11 @@
           for (int i = 0; i < count; i++) {
             deleted.add(unpacker.unpackString());
           }
-          long graceMs = unpacker.unpackLong();
+          long graceMs = unpackDurationMs(unpacker);
           StorePosition position = new StorePosition(unpacker.unpackLong(), revision);
           yield new RelayMessage.Update(collection, new Changes(items, deleted, position), graceMs);
         }
-        case CONTACT_PROOF -> new RelayMessage.ContactProof(unpacker.unpackLong());
+        case CONTACT_PROOF -> new RelayMessage.ContactProof(unpackDurationMs(unpacker));
         default -> throw new RelayException("unknown message type " + type);
       };
     } catch (IOException | RuntimeException e) {
@@ -102,6 +105,10 @@
     }
   }
 
+  private static long unpackDurationMs(MessageUnpacker unpacker) throws IOException {
+    return Math.clamp(unpacker.unpackLong(), 0, MAX_DURATION_MS);
+  }
+
   private static Collection collection(MessageUnpacker unpacker)
       throws IOException, RelayException {
     int ordinal = unpacker.unpackInt();
@@ -185,7 +192,7 @@
         new ZoneName(unpacker.unpackString()),
         unpacker.unpackInt(),
         unpacker.unpackBoolean(),
-        clock.nowNs() + unpacker.unpackLong() * NS_PER_MS,
+        clock.nowNs() + unpackDurationMs(unpacker) * NS_PER_MS,
         unpacker.unpackLong(),
         unpacker.unpackLong());
   }
--- a/lib/src/main/java/org/cowslipstair/model/traffic/BackendInstance.java
+++ b/lib/src/main/java/org/cowslipstair/model/traffic/BackendInstance.java
@@ -26,6 +26,14 @@
     long coldUntilNs,
     long startedUnixMs,
     long sequence) {
+  /** Validates the number of slots. */
+  public BackendInstance {
+    if (slots <= 0) {
+      throw new IllegalArgumentException(
+          "backend server \"%s\" with %d slots".formatted(name, slots));
+    }
+  }
+
   /** Returns the process that reported. */
   public BackendProcess process() {
     return new BackendProcess(name, startedUnixMs);
--- a/lib/src/main/java/org/cowslipstair/model/traffic/CallerBounds.java
+++ b/lib/src/main/java/org/cowslipstair/model/traffic/CallerBounds.java
@@ -10,6 +10,15 @@
  */
 public record CallerBounds(
     int maxHeadBytes, long maxBodyBytes, long headTimeoutMs, long idleTimeoutMs) {
+  /** Validates the limits. */
+  public CallerBounds {
+    if (maxHeadBytes <= 0 || maxBodyBytes < 0 || headTimeoutMs <= 0 || idleTimeoutMs <= 0) {
+      throw new IllegalArgumentException(
+          "limits on callers: %d bytes of head, %d of body, timeouts %d and %d ms"
+              .formatted(maxHeadBytes, maxBodyBytes, headTimeoutMs, idleTimeoutMs));
+    }
+  }
+
   /** Returns the limits that apply until the first configuration is loaded. */
   public static CallerBounds defaults() {
     return new CallerBounds(16 * 1024, 64L << 20, 5_000, 60_000);
