--- a/edge/src/main/java/org/cowslipstair/edge/sync/CollectionFollower.java
+++ b/edge/src/main/java/org/cowslipstair/edge/sync/CollectionFollower.java
@@ -27,6 +27,9 @@
   /** Maximum wait of one watch; the store's own limit is 30 s. */
   private static final long MAX_WATCH_MS = 29_000;
 
+  /** Far more objects than a collection can have. */
+  private static final int MAX_ITEMS = 100_000;
+
   /** Time after which the collection is listed again after an unexpected error; doubles. */
   private static final long FIRST_ERROR_RETRY_MS = 1_000;
 
@@ -124,7 +127,8 @@
         feed.list(collection, after, freshness)
             .observeOn(scheduler)
             .subscribe(
-                page -> retryOnError(() -> handlePage(page)), cause -> handleFailure(cause, true)));
+                page -> retryOnError(() -> handlePage(after, page)),
+                cause -> handleFailure(cause, true)));
   }
 
   /** Lists again later if what the store has answered cannot be applied. */
@@ -139,7 +143,7 @@
     }
   }
 
-  private void handlePage(ObjectFeed.Page page) {
+  private void handlePage(Optional<String> after, ObjectFeed.Page page) {
     boolean isFirst = listPosition.revision() == 0;
     if (!isFirst && page.position().epoch() != listPosition.epoch()) {
       listLatest();
@@ -149,7 +153,12 @@
     boolean isEarlier = page.position().compareTo(listPosition) < 0;
     listPosition = isFirst || isEarlier ? page.position() : listPosition;
     if (page.hasMore() && !page.items().isEmpty()) {
-      list(Optional.of(page.items().getLast().name()));
+      String last = page.items().getLast().name();
+      if (after.equals(Optional.of(last)) || listedItems.size() > MAX_ITEMS) {
+        handleFailure(new StoreException.Malformed("list", "pages without end"), true);
+      } else {
+        list(Optional.of(last));
+      }
       return;
     }
     handleSuccess();
--- a/edge/src/test/java/org/cowslipstair/edge/sync/CollectionFollowerTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/sync/CollectionFollowerTest.java
@@ -161,6 +161,16 @@
     assertThat(feed.calls.getLast(), is("watch 9"));
   }
 
+  /** A store that always has one more page would fill the memory. */
+  @Test
+  void pageThatEndsWhereItBeganIsAFailure() {
+    follower.start(Freshness.CACHED);
+    completeList(7, true, item("a"), item("b"));
+    completeList(7, true, item("b"));
+    assertThat(feed.lists.size(), is(0));
+    assertThat(events, contains("lost"));
+  }
+
   private final class Recorder implements CollectionFollower.Listener {
     @Override
     public void onListed(Collection collection, List<Item> items, StorePosition position) {
