Pass no response on whose status is no status

Numbers outside 100 to 599 are a malformed response now: 502, may have run, one send.

The test also sends malformed requests.

--- a/edge/src/main/java/org/cowslipstair/edge/http/ServerConnection.java
+++ b/edge/src/main/java/org/cowslipstair/edge/http/ServerConnection.java
@@ -176,6 +176,10 @@
       return;
     }
     if (object instanceof HttpResponse head) {
+      if (head.status().codeClass() == HttpStatusClass.UNKNOWN) {
+        fail(new ServerBytesException.Malformed("status " + head.status().code()));
+        return;
+      }
       onResponseHead(head);
     }
     if (object instanceof HttpContent content) {
