Bound the times in messages about permits

Found by PermitCodecTest.timesOfMalformedMessagesAreBounded (failed before) while fuzzing what peers send: an observation of a rate limit with an age below 0 lies in the future, so that no newer one ever replaces it, and a denial for 2^63 ms overflowed. Ages are 0 to 30 days now, denials at most a minute, after which a gateway asks again.

--- a/edge/src/main/java/org/cowslipstair/edge/permit/PermitMessage.java
+++ b/edge/src/main/java/org/cowslipstair/edge/permit/PermitMessage.java
@@ -32,7 +32,14 @@
    * @param limit advertised limit; empty if the backend server advertises none
    * @param ageMs time since the observation
    */
-  record Observed(Optional<RateLimit> limit, long ageMs) {}
+  record Observed(Optional<RateLimit> limit, long ageMs) {
+    private static final long MAX_AGE_MS = 30 * 86_400_000L;
+
+    /** Bounds the age. An observation of the future would never be replaced by a newer one. */
+    public Observed {
+      ageMs = Math.clamp(ageMs, 0, MAX_AGE_MS);
+    }
+  }
 
   /** Decision about a request. */
   sealed interface Verdict {
@@ -43,7 +50,14 @@
     record Unlimited() implements Verdict {}
 
     /** No permit is available for the given time. */
-    record Denied(long availableInMs) implements Verdict {}
+    record Denied(long availableInMs) implements Verdict {
+      private static final long MAX_WAIT_MS = 60_000;
+
+      /** Bounds the time, after which the sender requests again in any case. */
+      public Denied {
+        availableInMs = Math.clamp(availableInMs, 0, MAX_WAIT_MS);
+      }
+    }
 
     /** The receiver does not issue the permits of the backend server. */
     record NotIssuer() implements Verdict {}
--- a/edge/src/test/java/org/cowslipstair/edge/GatewayFixture.java
+++ b/edge/src/test/java/org/cowslipstair/edge/GatewayFixture.java
@@ -202,6 +202,11 @@
         socket);
   }
 
+  /** Returns the port at which a gateway serves the others. */
+  int relayPort(int index) {
+    return gatewayEntries.get(index).relayAddress().port();
+  }
+
   ScriptedBackend backend() {
     return backends.getFirst();
   }
--- a/edge/src/test/java/org/cowslipstair/edge/permit/PermitCodecTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/permit/PermitCodecTest.java
@@ -1,12 +1,20 @@
 package org.cowslipstair.edge.permit;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.allOf;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.io.IOException;
+import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.stream.Stream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.cowslipstair.edge.Mutations;
 import org.cowslipstair.model.config.BackendName;
 import org.cowslipstair.model.traffic.BackendProcess;
 import org.cowslipstair.model.traffic.RateLimit;
@@ -42,6 +50,29 @@
     assertThat(PermitCodec.decode(bytes), is(message));
   }
 
+  /** A newer observation, or a request after a denial, must be possible in any case. */
+  @Property(seed = "2828", tries = 4_000)
+  void timesOfMalformedMessagesAreBounded(@ForAll long seed) throws IOException {
+    Random random = new Random(seed);
+    List<PermitMessage> messages = messages().toList();
+    byte[] bytes = PermitCodec.encode(messages.get(random.nextInt(messages.size())));
+    try {
+      PermitMessage message = PermitCodec.decode(Mutations.mutateValue(bytes, random));
+      Optional<PermitMessage.Observed> observed =
+          switch (message) {
+            case PermitMessage.Request request -> request.observed();
+            case PermitMessage.Reply reply -> reply.observed();
+          };
+      long ageMs = observed.map(PermitMessage.Observed::ageMs).orElse(0L);
+      assertThat(ageMs, allOf(greaterThanOrEqualTo(0L), lessThan(Long.MAX_VALUE / 1_000_000)));
+      if (message instanceof PermitMessage.Reply(_, PermitMessage.Verdict.Denied(long ms), _)) {
+        assertThat(ms, allOf(greaterThanOrEqualTo(0L), lessThan(Long.MAX_VALUE / 1_000_000)));
+      }
+    } catch (MalformedPermitMessageException expected) {
+      // The connection is closed.
+    }
+  }
+
   @Test
   void malformedBytesAreRejected() {
     Random random = new Random(25);
