Soak: fault the links between gateways, and let callers pipeline

Each daemon announces its port for others, and the stand-in of the store replaces it by the port of a link in front of it, so that relayed state, permits and suspects go over links that become slow, one-way, silent or are reset, like those to the store and to backend servers. A tenth of the callers' turns sends two to four safe requests at once and expects the responses in order.

A daemon that others cannot reach counts as disturbed while the late sends of a deadly request are counted: gateways that are not in touch cannot know what others have seen.

--- a/soak/src/main/java/org/cowslipstair/soak/fault/Fault.java
+++ b/soak/src/main/java/org/cowslipstair/soak/fault/Fault.java
@@ -26,6 +26,9 @@
   /** The condition of one daemon's link to the store changes. */
   record StoreLink(int gateway, FaultyLink.Condition condition, long forMs) implements Fault {}
 
+  /** The condition of the links from all other daemons to one daemon changes. */
+  record PeerLink(int gateway, FaultyLink.Condition condition, long forMs) implements Fault {}
+
   /** The condition of all links to the store changes. */
   record StoreAway(FaultyLink.Condition condition, long forMs) implements Fault {}
 
--- a/soak/src/main/java/org/cowslipstair/soak/fault/FaultInjector.java
+++ b/soak/src/main/java/org/cowslipstair/soak/fault/FaultInjector.java
@@ -66,6 +66,8 @@
       case Fault.Reload(int gateway, boolean signalled) -> reload(gateway(gateway), signalled);
       case Fault.StoreLink(int gateway, FaultyLink.Condition condition, long forMs) ->
           applyLinkCondition(List.of(gateway(gateway).storeLink()), condition, forMs);
+      case Fault.PeerLink(int gateway, FaultyLink.Condition condition, long forMs) ->
+          partFromPeers(gateway(gateway), condition, forMs);
       case Fault.StoreAway(FaultyLink.Condition condition, long forMs) ->
           applyLinkCondition(
               fleet.gateways().stream().map(GatewayProcess::storeLink).toList(), condition, forMs);
@@ -174,6 +176,15 @@
         () -> links.forEach(link -> link.setCondition(FaultyLink.Condition.GOOD)));
   }
 
+  /** Gateways that are not in touch cannot know what others have seen. */
+  private void partFromPeers(GatewayProcess gateway, FaultyLink.Condition condition, long forMs)
+      throws InterruptedException {
+    DisturbanceLog.Disturbance unplannedDisturbance =
+        unplannedDisturbances.recordStart(System.nanoTime());
+    applyLinkCondition(List.of(gateway.peerLink()), condition, forMs);
+    unplannedDisturbance.recordEnd(System.nanoTime());
+  }
+
   private void returnStoreToCopy(long copyAgeMs, long awayMs) throws InterruptedException {
     StoreModel.Copy copy = fleet.storeCopy();
     TimeUnit.MILLISECONDS.sleep(copyAgeMs);
--- a/soak/src/main/java/org/cowslipstair/soak/fault/FaultPlan.java
+++ b/soak/src/main/java/org/cowslipstair/soak/fault/FaultPlan.java
@@ -54,6 +54,7 @@
     STOP,
     RELOAD,
     STORE_LINK,
+    PEER_LINK,
     STORE_AWAY,
     STORE_REFUSES,
     STORE_LOSES,
@@ -79,6 +80,7 @@
       case STOP -> new Fault.Stop(index);
       case RELOAD -> new Fault.Reload(index, random.nextBoolean());
       case STORE_LINK -> new Fault.StoreLink(index, randomCondition(), forMs);
+      case PEER_LINK -> new Fault.PeerLink(index, randomCondition(), forMs);
       case STORE_AWAY -> new Fault.StoreAway(randomCondition(), forMs);
       case STORE_REFUSES -> new Fault.StoreRefuses(forMs);
       case STORE_LOSES -> new Fault.StoreLosesAnswers(forMs);
--- a/soak/src/main/java/org/cowslipstair/soak/fleet/Caller.java
+++ b/soak/src/main/java/org/cowslipstair/soak/fleet/Caller.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.SocketTimeoutException;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -18,14 +19,17 @@
 import org.cowslipstair.soak.net.HttpResponse;
 
 /**
- * One caller: sends requests one after the other on a persistent connection and checks every
- * response. It reconnects when the gateway closes the connection, and occasionally at random.
+ * One caller: sends requests on a persistent connection, one after the other and sometimes several
+ * at once, and checks every response. It reconnects when the gateway closes the connection, and
+ * occasionally at random.
  */
 public final class Caller {
   private static final long DEADLINE_MS = 3_000;
   private static final long PAUSE_MS = 40;
   private static final double ABANDON_SHARE = 0.02;
   private static final double RECONNECT_SHARE = 0.05;
+  private static final double PIPELINED_SHARE = 0.1;
+  private static final int MAX_PIPELINED = 4;
   private static final int UPLOAD_BYTES = 60_000;
   private static final int MIN_FAILURE_STATUS = 300;
   private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
@@ -68,7 +72,11 @@
   public void run(long untilNs) {
     try {
       while (System.nanoTime() < untilNs) {
-        sendRequest();
+        if (random.nextDouble() < PIPELINED_SHARE) {
+          sendPipelined(2 + random.nextInt(MAX_PIPELINED - 1));
+        } else {
+          sendRequest();
+        }
         Thread.sleep(random.nextLong(2 * PAUSE_MS));
       }
     } catch (InterruptedException e) {
@@ -102,6 +110,35 @@
     }
   }
 
+  /** Sends safe requests without waiting for responses, which arrive in the same order. */
+  private void sendPipelined(int requests) {
+    List<String> ids = new ArrayList<>();
+    long sentNs = System.nanoTime();
+    try {
+      if (connection.isEmpty()) {
+        connect();
+      }
+      HttpConnection open = connection.orElseThrow(() -> new IOException("no gateway in rotation"));
+      for (int i = 0; i < requests; i++) {
+        String id = name + "-" + count++;
+        ids.add(id);
+        requestLog.requestSent(id, RequestKind.SAFE, sentNs);
+        send(open, RequestKind.SAFE, id);
+      }
+      while (!ids.isEmpty() && connection.isPresent()) {
+        check(RequestKind.SAFE, ids.getFirst(), open.readResponse());
+        ids.removeFirst();
+      }
+    } catch (SocketTimeoutException e) {
+      disconnect();
+    } catch (IOException e) {
+      disconnect();
+      if (!ids.isEmpty()) {
+        checkLostConnection(ids.getFirst(), sentNs, e);
+      }
+    }
+  }
+
   private void connect() throws IOException {
     disconnect();
     List<GatewayProcess> ready = gateways.stream().filter(GatewayProcess::isInRotation).toList();
--- a/soak/src/main/java/org/cowslipstair/soak/fleet/Fleet.java
+++ b/soak/src/main/java/org/cowslipstair/soak/fleet/Fleet.java
@@ -8,7 +8,9 @@
 import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -84,7 +86,14 @@
     this.limits = limits;
     this.requestLog = requestLog;
     this.violations = violations;
-    this.storeServer = new LoopbackHttpServer(system.store(store, storeFaults));
+    List<Integer> relayPorts = freePorts(gatewayCount);
+    Map<Integer, FaultyLink> peerLinks = new LinkedHashMap<>();
+    for (int port : relayPorts) {
+      peerLinks.put(port, new FaultyLink(port));
+    }
+    this.storeServer =
+        new LoopbackHttpServer(
+            system.store(store, storeFaults, port -> peerLinks.get(port).port()));
     for (String service : SERVICES) {
       for (String zone : ZONES) {
         for (int i = 0; i < BACKENDS_PER_ZONE; i++) {
@@ -93,7 +102,8 @@
       }
     }
     changeConfiguration();
-    List<Integer> relayPorts = freePorts(gatewayCount);
+    List<Integer> seedPorts =
+        peerLinks.values().stream().limit(SEED_COUNT).map(FaultyLink::port).toList();
     for (int i = 0; i < gatewayCount; i++) {
       List<Integer> ports = freePorts(2);
       FaultyLink link = new FaultyLink(storeServer.port());
@@ -105,8 +115,9 @@
               ports.getLast(),
               relayPorts.get(i),
               link.port(),
-              relayPorts.subList(0, Math.min(SEED_COUNT, gatewayCount)));
-      gateways.add(new GatewayProcess(system, spec, link, limits, violations, directory));
+              seedPorts);
+      FaultyLink peerLink = peerLinks.get(relayPorts.get(i));
+      gateways.add(new GatewayProcess(system, spec, link, peerLink, limits, violations, directory));
     }
   }
 
--- a/soak/src/main/java/org/cowslipstair/soak/fleet/GatewayProcess.java
+++ b/soak/src/main/java/org/cowslipstair/soak/fleet/GatewayProcess.java
@@ -22,6 +22,7 @@
   private final SystemUnderTest system;
   private final GatewaySpec spec;
   private final FaultyLink storeLink;
+  private final FaultyLink peerLink;
   private final Violations violations;
   private final Path settings;
   private final Path log;
@@ -36,6 +37,7 @@
       SystemUnderTest system,
       GatewaySpec spec,
       FaultyLink storeLink,
+      FaultyLink peerLink,
       Limits limits,
       Violations violations,
       Path directory)
@@ -43,6 +45,7 @@
     this.system = system;
     this.spec = spec;
     this.storeLink = storeLink;
+    this.peerLink = peerLink;
     this.violations = violations;
     this.settings = directory.resolve(spec.name() + ".toml");
     this.log = directory.resolve(spec.name() + ".log");
@@ -81,6 +84,11 @@
     return storeLink;
   }
 
+  /** Returns the link over which the other daemons reach this one. */
+  public FaultyLink peerLink() {
+    return peerLink;
+  }
+
   /** Returns whether a balancer in front would send new connections to this gateway. */
   public boolean isInRotation() {
     return failedProbes < 2;
@@ -180,5 +188,6 @@
     closed = true;
     process.destroyForcibly();
     storeLink.close();
+    peerLink.close();
   }
 }
