--- a/adapters/src/main/java/org/cowslipstair/adapters/platform/HttpPlatformStore.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/platform/HttpPlatformStore.java
@@ -19,6 +19,7 @@
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import okhttp3.Response;
+import okio.BufferedSource;
 import org.cowslipstair.model.config.HostPort;
 import org.cowslipstair.model.config.ObjectKey;
 import org.cowslipstair.model.config.ObjectKind;
@@ -37,6 +38,9 @@
   /** Time after which a call other than a watch is given up. */
   public static final long DEFAULT_TIMEOUT_MS = 2_000;
 
+  /** Maximum length of a body; thousands of objects have a few MiB. */
+  private static final long MAX_BODY_BYTES = 32L << 20;
+
   private static final long WATCH_SLACK_MS = 2_000;
   private static final int MAX_IDLE_CONNECTIONS = 4;
   private static final long IDLE_CONNECTION_MS = 15_000;
@@ -230,7 +234,7 @@
         String cause = "%s answered %d".formatted(address, status);
         throw new StoreException.AnswerLost(storeCall.operation(), cause);
       }
-      return new Answer(status, response.body().string());
+      return new Answer(status, readBody(storeCall.operation(), response));
     } catch (IOException e) {
       String cause = address + ": " + e;
       if (mark.sent().get()) {
@@ -240,6 +244,16 @@
     }
   }
 
+  /** Reads a body, unless it is longer than any that was asked for. */
+  private static String readBody(String operation, Response response)
+      throws IOException, StoreException.AnswerLost {
+    BufferedSource source = response.body().source();
+    if (source.request(MAX_BODY_BYTES + 1)) {
+      throw new StoreException.AnswerLost(operation, "body is too long");
+    }
+    return source.readUtf8();
+  }
+
   private static void requireVersion(
       String operation, ObjectKey key, long expectedVersion, Answer answer) throws StoreException {
     if (answer.status() == 409) {
--- a/adapters/src/main/java/org/cowslipstair/adapters/platform/WireJson.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/platform/WireJson.java
@@ -95,7 +95,11 @@
     }
   }
 
-  private static StoredObject stored(String operation, WireObject object) throws StoreException {
+  private static StoredObject stored(String operation, @Nullable WireObject object)
+      throws StoreException {
+    if (object == null) {
+      throw new StoreException.Malformed(operation, "object is null");
+    }
     Optional<ObjectKind> kind = ObjectKind.fromWireName(String.valueOf(object.kind()));
     if (kind.isEmpty() || !ObjectKey.isValidName(String.valueOf(object.name()))) {
       String key = object.kind() + "/" + object.name();
--- a/lib/src/main/java/org/cowslipstair/runtime/config/ConfigWatcher.java
+++ b/lib/src/main/java/org/cowslipstair/runtime/config/ConfigWatcher.java
@@ -108,6 +108,10 @@
         LOG.warnf("config: %s", e.getMessage());
       }
       consecutiveFailures++;
+    } catch (RuntimeException e) {
+      LOG.error("config: unexpected error, the store is listed again", e);
+      shouldListNext = true;
+      consecutiveFailures++;
     }
   }
 
@@ -151,6 +155,8 @@
         }
       } catch (StoreException expected) {
         // Membership detects the missing confirmation.
+      } catch (RuntimeException e) {
+        LOG.error("config: unexpected error, the store is asked again", e);
       } catch (InterruptedException e) {
         return;
       }
@@ -170,6 +176,8 @@
         }
       } catch (StoreException expected) {
         // The watch loop reports an outage.
+      } catch (RuntimeException e) {
+        LOG.error("config: unexpected error, the store is listed again", e);
       } catch (InterruptedException e) {
         return;
       }
--- a/lib/src/main/java/org/cowslipstair/runtime/membership/InstanceListPoller.java
+++ b/lib/src/main/java/org/cowslipstair/runtime/membership/InstanceListPoller.java
@@ -9,12 +9,14 @@
 import org.cowslipstair.port.PlatformStore;
 import org.cowslipstair.port.StoreException;
 import org.cowslipstair.runtime.config.StoreBackoff;
+import org.jboss.logging.Logger;
 
 /**
  * Polls the platform's list of gateways infrequently, because new gateways connect to the others by
  * themselves.
  */
 public final class InstanceListPoller implements AutoCloseable {
+  private static final Logger LOG = Logger.getLogger(InstanceListPoller.class);
   private static final long MEAN_INTERVAL_MS = 30_000;
 
   private final PlatformStore store;
@@ -52,6 +54,10 @@
       } catch (StoreException expected) {
         consecutiveFailures++;
         delayMs = backoff.delayMs(consecutiveFailures, random);
+      } catch (RuntimeException e) {
+        LOG.error("fleet: unexpected error, the list of gateways is read again", e);
+        consecutiveFailures++;
+        delayMs = backoff.delayMs(consecutiveFailures, random);
       }
       try {
         TimeUnit.MILLISECONDS.sleep(delayMs);
--- a/lib/src/test/java/org/cowslipstair/runtime/config/ConfigWatcherTest.java
+++ b/lib/src/test/java/org/cowslipstair/runtime/config/ConfigWatcherTest.java
@@ -64,6 +64,22 @@
     }
   }
 
+  /** Without this, no later change would be in force on this gateway until it restarts. */
+  @Test
+  void followsTheStoreAfterAnUnexpectedError() throws Exception {
+    FakePlatformStore platformStore = new FakePlatformStore();
+    platformStore.write("a", "in");
+    try (WatchingGateway gateway = new WatchingGateway(platformStore, 4, MANY_GATEWAYS)) {
+      await("list", () -> gateway.stateOf("a").equals("in"));
+      platformStore.setBroken(true);
+      platformStore.write("a", "lost");
+      Thread.sleep(500);
+      platformStore.setBroken(false);
+      platformStore.write("a", "out");
+      await("later change", () -> gateway.stateOf("a").equals("out"));
+    }
+  }
+
   @Test
   void recheckDetectsChangeWhileWatchHangs() throws Exception {
     FakePlatformStore platformStore = new FakePlatformStore();
--- a/lib/src/test/java/org/cowslipstair/runtime/config/FakePlatformStore.java
+++ b/lib/src/test/java/org/cowslipstair/runtime/config/FakePlatformStore.java
@@ -22,6 +22,7 @@
   private StoreId storeId = new StoreId("store-a");
   private long revision;
   private boolean isDown;
+  private boolean isBroken;
   private boolean areWatchesHanging;
 
   synchronized void write(String zone, String state) {
@@ -32,6 +33,12 @@
     notifyAll();
   }
 
+  /** Lets every call end in an error that no port declares. */
+  synchronized void setBroken(boolean broken) {
+    isBroken = broken;
+    notifyAll();
+  }
+
   synchronized void setDown(boolean down) {
     isDown = down;
     notifyAll();
@@ -49,6 +56,9 @@
   }
 
   private void requireUp(String operation) throws StoreException {
+    if (isBroken) {
+      throw new IllegalStateException("unexpected");
+    }
     if (isDown) {
       throw new StoreException.Unavailable(operation, "down");
     }
