--- a/lib/src/test/java/org/cowslipstair/logic/object/ObjectJsonTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/object/ObjectJsonTest.java
@@ -6,9 +6,14 @@
 import static org.hamcrest.Matchers.is;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
@@ -34,6 +39,22 @@
 import org.junit.jupiter.api.Test;
 
 class ObjectJsonTest {
+  private static final List<String> STRANGE_VALUES =
+      List.of(
+          "null",
+          "true",
+          "0",
+          "-1",
+          "0.5",
+          "1e400",
+          "9223372036854775808",
+          "\"\"",
+          "\"a b\"",
+          "\"a\\r\\nb\"",
+          "[]",
+          "[null]",
+          "{}",
+          "{\"a\":null}");
   private static final ObjectKey SERVICE_KEY = new ObjectKey(ObjectKind.SERVICE, "watch");
   private static final ObjectKey BACKEND_KEY = new ObjectKey(ObjectKind.BACKEND_SERVER, "watch-1");
 
@@ -77,6 +98,23 @@
     }
   }
 
+  @Property(seed = "2829", tries = 4_000)
+  void objectWithAStrangeValueIsReadOrItsFieldsAreNamed(
+      @ForAll("objects") ConfigObject object, @ForAll long seed) throws JsonProcessingException {
+    Random random = new Random(seed);
+    ObjectNode body = (ObjectNode) new ObjectMapper().readTree(ObjectJson.write(object));
+    List<String> names = new ArrayList<>();
+    body.fieldNames().forEachRemaining(names::add);
+    String name = names.get(random.nextInt(names.size()));
+    String strange = STRANGE_VALUES.get(random.nextInt(STRANGE_VALUES.size()));
+    body.set(name, new ObjectMapper().readTree(strange));
+    try {
+      assertThat(ObjectJson.read(object.key(), body.toString()).key(), is(object.key()));
+    } catch (InvalidFieldsException e) {
+      assertThat(e.errors().isEmpty(), is(false));
+    }
+  }
+
   @Property(seed = "1")
   void writtenObjectIsEqualWhenReadAgain(@ForAll("objects") ConfigObject object)
       throws InvalidFieldsException {
