--- a/soak/src/main/java/org/cowslipstair/soak/fleet/Fleet.java
+++ b/soak/src/main/java/org/cowslipstair/soak/fleet/Fleet.java
@@ -86,7 +86,9 @@
     this.limits = limits;
     this.requestLog = requestLog;
     this.violations = violations;
-    List<Integer> relayPorts = freePorts(gatewayCount);
+    // All at once: a port that no daemon has taken yet could be picked twice.
+    List<Integer> ports = freePorts(3 * gatewayCount);
+    List<Integer> relayPorts = ports.subList(0, gatewayCount);
     Map<Integer, FaultyLink> peerLinks = new LinkedHashMap<>();
     for (int port : relayPorts) {
       peerLinks.put(port, new FaultyLink(port));
@@ -105,14 +107,13 @@
     List<Integer> seedPorts =
         peerLinks.values().stream().limit(SEED_COUNT).map(FaultyLink::port).toList();
     for (int i = 0; i < gatewayCount; i++) {
-      List<Integer> ports = freePorts(2);
       FaultyLink link = new FaultyLink(storeServer.port());
       GatewaySpec spec =
           new GatewaySpec(
               "g-" + i,
               ZONES.get(i % ZONES.size()),
-              ports.getFirst(),
-              ports.getLast(),
+              ports.get(gatewayCount + i),
+              ports.get(2 * gatewayCount + i),
               relayPorts.get(i),
               link.port(),
               seedPorts);
