gateway/: follow a store that comes back from a copy with nobody watching

Cause: the store gives revisions out again after a return, the core took them for a clock that never goes back, and the store did not tell. Now it tells its epoch, the epoch of each object's last write, and where each copy ended. The client orders revisions by epoch, then number, in one number, so versions still never fall; what the copy lacks stays in force and reaches gateways that lag or start later; what lists lack otherwise is remembered as deleted.

New: writesThatTheCopyLacksReachAllGatewaysAndStayInForce (failed before: a deletion came back), returns of the store among the random faults of ConfigFaultsTest, the client against the stand-in.

--- a/adapters/src/main/java/org/cowslipstair/adapters/peer/ConfigMessageCodec.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/peer/ConfigMessageCodec.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.cowslipstair.model.config.ObjectKey;
 import org.cowslipstair.model.config.ObjectKind;
+import org.cowslipstair.model.config.RevisionRange;
 import org.cowslipstair.model.config.StoreId;
 import org.cowslipstair.model.config.StoredObject;
 import org.cowslipstair.model.peer.ConfigMessage;
@@ -47,6 +48,11 @@
     out.integer(message.revision());
     out.integer(message.part());
     out.integer(message.parts());
+    out.count(message.lost());
+    for (RevisionRange range : message.lost()) {
+      out.integer(range.after());
+      out.integer(range.before());
+    }
     out.count(message.objects());
     for (StoredObject object : message.objects()) {
       out.constant(object.key().kind());
@@ -74,12 +80,18 @@
     long revision = in.integer();
     int part = in.integer(0, MAX_PARTS);
     int parts = in.integer(1, MAX_PARTS);
+    int returns = in.count();
+    List<RevisionRange> lost = new ArrayList<>();
+    for (int i = 0; i < returns; i++) {
+      lost.add(new RevisionRange(in.integer(), in.integer()));
+    }
     int count = in.count();
     List<StoredObject> objects = new ArrayList<>();
     for (int i = 0; i < count; i++) {
       objects.add(readObject(in));
     }
-    return new ConfigObjects(storeId, storeTerm, afterRevision, revision, part, parts, objects);
+    return new ConfigObjects(
+        storeId, storeTerm, afterRevision, revision, part, parts, lost, objects);
   }
 
   private static StoredObject readObject(WireReader in) throws ProtocolException {
--- a/adapters/src/main/java/org/cowslipstair/adapters/platform/HttpPlatformStore.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/platform/HttpPlatformStore.java
@@ -23,6 +23,7 @@
 import org.cowslipstair.model.config.HostPort;
 import org.cowslipstair.model.config.ObjectKey;
 import org.cowslipstair.model.config.ObjectKind;
+import org.cowslipstair.model.config.StoreRevision;
 import org.cowslipstair.model.config.StoredObject;
 import org.cowslipstair.model.fleet.InstanceEntry;
 import org.cowslipstair.port.PlatformStore;
@@ -149,7 +150,8 @@
     HttpUrl url =
         url("watch")
             .addQueryParameter("kinds", wireNames(kinds))
-            .addQueryParameter("after", Long.toString(afterRevision))
+            .addQueryParameter("epoch", Long.toString(StoreRevision.epoch(afterRevision)))
+            .addQueryParameter("after", Long.toString(StoreRevision.number(afterRevision)))
             .addQueryParameter("timeoutMs", Long.toString(timeoutMs))
             .build();
     Request request = new Request.Builder().url(url).build();
@@ -284,7 +286,8 @@
 
   private HttpUrl conditional(ObjectKey key, long expectedVersion, String changeId) {
     return url(key)
-        .addQueryParameter("ifVersion", Long.toString(expectedVersion))
+        .addQueryParameter("ifEpoch", Long.toString(StoreRevision.epoch(expectedVersion)))
+        .addQueryParameter("ifVersion", Long.toString(StoreRevision.number(expectedVersion)))
         .addQueryParameter("changeId", changeId)
         .build();
   }
--- a/adapters/src/main/java/org/cowslipstair/adapters/platform/WireJson.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/platform/WireJson.java
@@ -11,7 +11,9 @@
 import org.cowslipstair.model.config.HostPort;
 import org.cowslipstair.model.config.ObjectKey;
 import org.cowslipstair.model.config.ObjectKind;
+import org.cowslipstair.model.config.RevisionRange;
 import org.cowslipstair.model.config.StoreId;
+import org.cowslipstair.model.config.StoreRevision;
 import org.cowslipstair.model.config.StoredObject;
 import org.cowslipstair.model.config.ZoneName;
 import org.cowslipstair.model.fleet.GatewayName;
@@ -30,13 +32,22 @@
   private record WireObject(
       String kind,
       String name,
+      long epoch,
       long version,
       @Nullable String changeId,
       boolean deleted,
       @Nullable JsonNode body) {}
 
   @JsonIgnoreProperties(ignoreUnknown = true)
-  private record WireBatch(String storeId, long revision, List<WireObject> objects) {}
+  private record WireBatch(
+      String storeId,
+      long epoch,
+      long revision,
+      @Nullable List<WireReturn> returns,
+      List<WireObject> objects) {}
+
+  @JsonIgnoreProperties(ignoreUnknown = true)
+  private record WireReturn(long epoch, long copyEpoch, long copyRevision) {}
 
   @JsonIgnoreProperties(ignoreUnknown = true)
   private record WireConflict(@Nullable WireObject current) {}
@@ -57,7 +68,33 @@
     for (WireObject object : batch.objects()) {
       objects.add(stored(operation, object));
     }
-    return new ObjectBatch(new StoreId(batch.storeId()), batch.revision(), objects);
+    return new ObjectBatch(
+        new StoreId(batch.storeId()),
+        revision(operation, batch.epoch(), batch.revision()),
+        lost(operation, batch),
+        objects);
+  }
+
+  private static List<RevisionRange> lost(String operation, WireBatch batch) throws StoreException {
+    List<RevisionRange> lost = new ArrayList<>();
+    for (WireReturn back : batch.returns() == null ? List.<WireReturn>of() : batch.returns()) {
+      if (back == null) {
+        throw new StoreException.Malformed(operation, "return is null");
+      }
+      lost.add(
+          new RevisionRange(
+              revision(operation, back.copyEpoch(), back.copyRevision()),
+              revision(operation, back.epoch(), 0)));
+    }
+    return lost;
+  }
+
+  private static long revision(String operation, long epoch, long number) throws StoreException {
+    try {
+      return StoreRevision.of(epoch, number);
+    } catch (IllegalArgumentException e) {
+      throw new StoreException.Malformed(operation, String.valueOf(e.getMessage()));
+    }
   }
 
   static StoredObject object(String operation, String json) throws StoreException {
@@ -109,7 +146,11 @@
     String body = object.body() == null ? "" : object.body().toString();
     ObjectKey key = new ObjectKey(kind.get(), object.name());
     return new StoredObject(
-        key, object.version(), changeId, object.deleted(), object.deleted() ? "" : body);
+        key,
+        revision(operation, object.epoch(), object.version()),
+        changeId,
+        object.deleted(),
+        object.deleted() ? "" : body);
   }
 
   private static <T> T parse(String operation, String json, Class<T> type) throws StoreException {
--- a/adapters/src/test/java/org/cowslipstair/adapters/peer/HostilePeerTest.java
+++ b/adapters/src/test/java/org/cowslipstair/adapters/peer/HostilePeerTest.java
@@ -251,7 +251,7 @@
           new StoredObject(
               new ObjectKey(ObjectKind.ZONE, "z"), 1, "c", false, "x".repeat(MAX_FRAME_BYTES / 2));
       for (int i = 0; i < 10_000 && a.isConnected(name); i++) {
-        a.send(name, new ConfigObjects(new StoreId("s"), 0, 0, 1, 0, 1, List.of(large)));
+        a.send(name, new ConfigObjects(new StoreId("s"), 0, 0, 1, 0, 1, List.of(), List.of(large)));
         send(i % 100 == 0 ? 1 : 0);
       }
       await("end of the connection", () -> !a.isConnected(name));
--- a/adapters/src/test/java/org/cowslipstair/adapters/peer/PeerConnectionTest.java
+++ b/adapters/src/test/java/org/cowslipstair/adapters/peer/PeerConnectionTest.java
@@ -34,7 +34,7 @@
             "c",
             false,
             "x".repeat(MAX_FRAME_BYTES / 2));
-    return new ConfigObjects(new StoreId("s"), 0, 0, 1, 0, 1, List.of(large));
+    return new ConfigObjects(new StoreId("s"), 0, 0, 1, 0, 1, List.of(), List.of(large));
   }
 
   /** Two messages that fit into a frame each, but not into one together. */
--- a/adapters/src/test/java/org/cowslipstair/adapters/peer/RandomMessages.java
+++ b/adapters/src/test/java/org/cowslipstair/adapters/peer/RandomMessages.java
@@ -10,6 +10,7 @@
 import org.cowslipstair.model.config.HostPort;
 import org.cowslipstair.model.config.ObjectKey;
 import org.cowslipstair.model.config.ObjectKind;
+import org.cowslipstair.model.config.RevisionRange;
 import org.cowslipstair.model.config.ServiceName;
 import org.cowslipstair.model.config.StoreId;
 import org.cowslipstair.model.config.StoredObject;
@@ -51,7 +52,14 @@
             () -> new ConfigMessage.AcceptStore(store(), number()),
             () ->
                 new ConfigMessage.ConfigObjects(
-                    store(), number(), number(), number(), 1, 3, listOf(this::object)),
+                    store(),
+                    number(),
+                    number(),
+                    number(),
+                    1,
+                    3,
+                    listOf(() -> new RevisionRange(number(), number())),
+                    listOf(this::object)),
             () ->
                 new LeaseMessage.Acquire(
                     pool(),
--- a/adapters/src/test/java/org/cowslipstair/adapters/platform/StoreResponsesTest.java
+++ b/adapters/src/test/java/org/cowslipstair/adapters/platform/StoreResponsesTest.java
@@ -27,7 +27,7 @@
 
 /** Responses of the store that are not what was asked for, or do not end. */
 @Timeout(60)
-final class HttpPlatformStoreTest {
+final class StoreResponsesTest {
   private static final long MAX_BYTES = 256L << 20;
   private static final long TIMEOUT_MS = 20_000;
   private static final Set<ObjectKind> ZONES = Set.of(ObjectKind.ZONE);
@@ -37,7 +37,7 @@
   private volatile String body = "";
   private volatile boolean isEndless;
 
-  HttpPlatformStoreTest() throws IOException {
+  StoreResponsesTest() throws IOException {
     listener = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
     store =
         new HttpPlatformStore(
--- a/cli/src/main/java/org/cowslipstair/cli/ObjectStore.java
+++ b/cli/src/main/java/org/cowslipstair/cli/ObjectStore.java
@@ -56,7 +56,10 @@
 
   ObjectBatch list(Set<ObjectKind> kinds) throws CliException {
     try {
-      return store.list(kinds);
+      ObjectBatch batch = store.list(kinds);
+      List<StoredObject> live =
+          batch.objects().stream().filter(object -> !object.deleted()).toList();
+      return new ObjectBatch(batch.storeId(), batch.revision(), batch.lost(), live);
     } catch (StoreException e) {
       throw CliException.from(e);
     }
--- a/cli/src/test/java/org/cowslipstair/adapters/platform/HttpPlatformStoreTest.java
+++ b/cli/src/test/java/org/cowslipstair/adapters/platform/HttpPlatformStoreTest.java
@@ -3,6 +3,8 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -157,6 +159,32 @@
     assertThat(batch.storeId().value(), is(not(backup.storeId())));
   }
 
+  @Test
+  void storeThatComesBackFromACopyBeginsALaterEpoch() throws StoreException {
+    StoredObject first = store.put(ZONE, BODY, 0, "first");
+    StoreServer.Backup backup = server.backup();
+    StoredObject lost = store.put(ZONE, BODY, first.version(), "lost");
+    server.restore(backup, false);
+
+    ObjectBatch batch = store.list(ZONES);
+    assertThat(batch.objects(), contains(first));
+    assertThat(batch.revision(), is(greaterThan(lost.version())));
+    assertThat(batch.lost(), hasSize(1));
+    assertThat(batch.lost().getFirst().contains(lost.version()), is(true));
+    assertThat(batch.lost().getFirst().contains(first.version()), is(false));
+    assertThrows(
+        StoreException.RevisionGone.class,
+        () -> store.watch(ZONES, lost.version(), LONG_TIMEOUT_MS));
+
+    StoredObject again = store.put(ZONE, BODY, first.version(), "again");
+    assertThat(again.version(), is(greaterThan(batch.revision())));
+    assertThrows(
+        StoreException.VersionConflict.class, () -> store.put(ZONE, BODY, lost.version(), "late"));
+
+    store.delete(ZONE, again.version(), "deleted");
+    assertThat(store.list(ZONES).objects().getFirst().deleted(), is(true));
+  }
+
   @Test
   void instanceListMayBeStale() throws StoreException {
     server.putInstance(
--- a/lib/src/main/java/org/cowslipstair/logic/config/ConfigCore.java
+++ b/lib/src/main/java/org/cowslipstair/logic/config/ConfigCore.java
@@ -19,9 +19,10 @@
 
 /**
  * Decides which configuration one gateway has in force, based on batches from the store and from
- * peers. Within one store and term, revisions and versions never decrease. Another store, or an
- * older state of the same store, comes into force only in a later term, which an operator starts.
- * Not thread-safe.
+ * peers. Within one store and term, revisions and versions never decrease; a store that comes back
+ * from a copy and tells so begins a later epoch of revisions. Another store, or an older state of
+ * the same store that does not tell, comes into force only in a later term, which an operator
+ * starts. Not thread-safe.
  */
 public final class ConfigCore {
   private final ConfigSettings settings;
@@ -114,6 +115,7 @@
     if (batch.revision() < revisionAtRequest) {
       return Optional.of(Reason.OLDER_REVISION);
     }
+    recordLost(batch);
     boolean isComparable = batch.isFull() && batch.revision() >= table.revision();
     if (isComparable && !table.isConsistentWith(batch.objects())) {
       return Optional.of(Reason.OTHER_HISTORY);
@@ -121,6 +123,15 @@
     return Optional.empty();
   }
 
+  private void recordLost(ConfigBatch batch) {
+    if (table.recordLost(batch.lost())) {
+      actions.add(
+          new ConfigAction.Report(
+              new ConfigEvent.StoreReturned(
+                  batch.storeId(), batch.revision(), batch.lost().getLast())));
+    }
+  }
+
   private void refuse(RefusedStore store) {
     boolean isNew =
         refusedStore
@@ -154,6 +165,7 @@
   private void switchTo(StoreEpoch newEpoch, ConfigBatch batch) {
     boolean isReplacement = epoch.isPresent();
     table = newTable();
+    table.recordLost(batch.lost());
     batch.objects().forEach(table::merge);
     table.removeUnlisted(batch.objects(), batch.revision());
     table.advanceRevision(batch.revision());
@@ -227,6 +239,7 @@
   private void applyPeerBatch(ConfigObjects message, ConfigBatch batch, long nowNs) {
     StoreEpoch peerEpoch = new StoreEpoch(message.storeId(), message.storeTerm());
     if (epoch.filter(peerEpoch::equals).isPresent()) {
+      recordLost(batch);
       boolean isFullAndCurrent = batch.isFull() && batch.revision() >= table.revision();
       if (!isFullAndCurrent || table.isConsistentWith(batch.objects())) {
         merge(batch);
--- a/lib/src/main/java/org/cowslipstair/logic/config/ConfigEvent.java
+++ b/lib/src/main/java/org/cowslipstair/logic/config/ConfigEvent.java
@@ -1,6 +1,7 @@
 package org.cowslipstair.logic.config;
 
 import org.cowslipstair.model.config.ObjectKey;
+import org.cowslipstair.model.config.RevisionRange;
 import org.cowslipstair.model.config.StoreId;
 import org.cowslipstair.model.fleet.GatewayName;
 
@@ -12,6 +13,9 @@
   /** A batch from a store was refused; the configuration in force does not change. */
   record StoreRefused(RefusedStore store) implements ConfigEvent {}
 
+  /** The store has come back from a copy; what was written at the lost revisions stays in force. */
+  record StoreReturned(StoreId storeId, long revision, RevisionRange lost) implements ConfigEvent {}
+
   /** The refused store is consistent with the configuration in force again. */
   record StoreRestored(StoreId storeId) implements ConfigEvent {}
 
--- a/lib/src/main/java/org/cowslipstair/logic/config/ObjectTable.java
+++ b/lib/src/main/java/org/cowslipstair/logic/config/ObjectTable.java
@@ -15,6 +15,7 @@
 import java.util.function.Consumer;
 import org.cowslipstair.model.config.ConfigObject;
 import org.cowslipstair.model.config.ObjectKey;
+import org.cowslipstair.model.config.RevisionRange;
 import org.cowslipstair.model.config.StoredObject;
 
 /**
@@ -25,9 +26,13 @@
   private static final HashFunction HASH_FUNCTION = Hashing.murmur3_128();
   private static final int MAX_TOMBSTONES = 1_000;
 
+  /** Number of returns of the store that are remembered. */
+  private static final int MAX_RETURNS = 16;
+
   private final ObjectReader reader;
   private final Consumer<ConfigEvent.ObjectInvalid> onInvalid;
   private final SortedMap<ObjectKey, Entry> entries = new TreeMap<>();
+  private final List<RevisionRange> lost = new ArrayList<>();
   private long revision;
   private long tombstonesCompleteAfter;
 
@@ -62,6 +67,35 @@
     return revision;
   }
 
+  /**
+   * Records revisions that the store has lost. What was written at them stays in force until it is
+   * written again.
+   *
+   * @return whether any of them was unknown
+   */
+  boolean recordLost(Collection<RevisionRange> ranges) {
+    boolean isNew = false;
+    for (RevisionRange range : ranges) {
+      if (!lost.contains(range)) {
+        lost.add(range);
+        isNew = true;
+      }
+    }
+    while (lost.size() > MAX_RETURNS) {
+      lost.removeFirst();
+    }
+    return isNew;
+  }
+
+  /** Returns the revisions that the store has lost. */
+  List<RevisionRange> lost() {
+    return List.copyOf(lost);
+  }
+
+  private boolean isLost(long version) {
+    return lost.stream().anyMatch(range -> range.contains(version));
+  }
+
   /** Advances the revision up to which the table is complete. */
   void advanceRevision(long newRevision) {
     revision = Math.max(revision, newRevision);
@@ -76,7 +110,8 @@
   boolean merge(StoredObject stored) {
     Entry existing = entries.get(stored.key());
     if (existing == null) {
-      return stored.version() > revision && put(stored, Optional.empty());
+      boolean isUnknown = stored.version() > revision || isLost(stored.version());
+      return isUnknown && put(stored, Optional.empty());
     }
     if (stored.version() > existing.latest().version()) {
       return put(stored, Optional.of(existing));
@@ -125,18 +160,31 @@
     }
   }
 
-  /** Removes the objects that a full list does not contain, unless they are newer than the list. */
+  /**
+   * Removes the objects that a full list does not contain, unless they are newer than the list or
+   * the store has lost them.
+   */
   void removeUnlisted(Collection<StoredObject> listed, long listRevision) {
     Set<ObjectKey> keys = new HashSet<>();
     listed.forEach(object -> keys.add(object.key()));
-    entries
-        .values()
-        .removeIf(
-            entry ->
-                entry.latest().version() <= listRevision && !keys.contains(entry.latest().key()));
+    entries.replaceAll(
+        (key, entry) -> {
+          long version = entry.latest().version();
+          boolean isDeleted = version <= listRevision && !keys.contains(key) && !isLost(version);
+          return isDeleted && !entry.isTombstone()
+              ? Entry.valid(tombstone(key, listRevision), Optional.empty())
+              : entry;
+        });
     tombstonesCompleteAfter = Math.max(tombstonesCompleteAfter, listRevision);
   }
 
+  /**
+   * Marks an object as deleted at or before a revision, in case that a copy of the store has it.
+   */
+  private static StoredObject tombstone(ObjectKey key, long revision) {
+    return new StoredObject(key, revision, "", true, "");
+  }
+
   /** Returns whether a full list agrees with this table up to the revision of the table. */
   boolean isConsistentWith(Collection<StoredObject> listed) {
     Map<ObjectKey, StoredObject> newest = new TreeMap<>();
@@ -148,16 +196,29 @@
         continue;
       }
       Entry existing = entries.get(object.key());
-      if (existing == null || !isConsistent(object, existing)) {
+      boolean isConsistent =
+          existing == null
+              ? object.deleted() || isLost(object.version()) || mayHaveLostDeletion(object)
+              : isConsistent(object, existing);
+      if (!isConsistent) {
         return false;
       }
     }
     return true;
   }
 
+  private boolean isAfterACopy(long version) {
+    return lost.stream().anyMatch(range -> version > range.after());
+  }
+
+  /** Returns whether an object may have been deleted by a write that the store has lost. */
+  private boolean mayHaveLostDeletion(StoredObject object) {
+    return lost.stream().anyMatch(range -> object.version() <= range.after());
+  }
+
   private boolean isConsistent(StoredObject listed, Entry existing) {
     StoredObject latest = existing.latest();
-    if (latest.version() > revision) {
+    if (latest.version() > revision || isLost(latest.version()) || isLost(listed.version())) {
       return true;
     }
     boolean isLatest =
@@ -182,11 +243,14 @@
     return written;
   }
 
-  /** Returns all objects except tombstones. */
-  List<StoredObject> liveObjects() {
+  /**
+   * Returns all objects, and the tombstones of those that a list of the store may contain again, or
+   * that others may keep because the store has lost them.
+   */
+  List<StoredObject> fullList() {
     List<StoredObject> objects = new ArrayList<>();
     for (Entry entry : entries.values()) {
-      if (!entry.isTombstone()) {
+      if (!entry.isTombstone() || isAfterACopy(entry.latest().version())) {
         addVersions(entry, objects);
       }
     }
--- a/lib/src/main/java/org/cowslipstair/logic/config/PeerExchange.java
+++ b/lib/src/main/java/org/cowslipstair/logic/config/PeerExchange.java
@@ -62,7 +62,12 @@
     List<StoredObject> objects = new ArrayList<>();
     parts.values().forEach(part -> objects.addAll(part.objects()));
     return Optional.of(
-        new ConfigBatch(message.storeId(), message.afterRevision(), message.revision(), objects));
+        new ConfigBatch(
+            message.storeId(),
+            message.afterRevision(),
+            message.revision(),
+            message.lost(),
+            objects));
   }
 
   private static boolean isSameResponse(ConfigObjects one, ConfigObjects other) {
@@ -78,7 +83,7 @@
     boolean isFull =
         request.afterRevision() <= 0 || !table.hasAllTombstonesAfter(request.afterRevision());
     long afterRevision = isFull ? 0 : request.afterRevision();
-    List<StoredObject> objects = isFull ? table.liveObjects() : table.writtenAfter(afterRevision);
+    List<StoredObject> objects = isFull ? table.fullList() : table.writtenAfter(afterRevision);
     List<List<StoredObject>> parts = split(objects);
     List<ConfigObjects> messages = new ArrayList<>();
     for (List<StoredObject> part : parts) {
@@ -90,6 +95,7 @@
               table.revision(),
               messages.size(),
               parts.size(),
+              table.lost(),
               part));
     }
     return messages;
--- a/lib/src/main/java/org/cowslipstair/logic/idempotency/IdempotencyGuard.java
+++ b/lib/src/main/java/org/cowslipstair/logic/idempotency/IdempotencyGuard.java
@@ -125,7 +125,8 @@
       if (deletedCount >= settings.maxDeletesPerSweep()) {
         break;
       }
-      if (AttemptJson.isExpired(attempt, wallClock.millis()) && delete(attempt)) {
+      boolean isExpired = !attempt.deleted() && AttemptJson.isExpired(attempt, wallClock.millis());
+      if (isExpired && delete(attempt)) {
         deletedCount++;
       }
     }
--- a/lib/src/main/java/org/cowslipstair/model/peer/ConfigMessage.java
+++ b/lib/src/main/java/org/cowslipstair/model/peer/ConfigMessage.java
@@ -1,6 +1,7 @@
 package org.cowslipstair.model.peer;
 
 import java.util.List;
+import org.cowslipstair.model.config.RevisionRange;
 import org.cowslipstair.model.config.StoreId;
 import org.cowslipstair.model.config.StoredObject;
 
@@ -21,6 +22,7 @@
    * @param revision last revision covered by all parts together
    * @param part zero-based index of this part
    * @param parts number of parts
+   * @param lost revisions that the store lost when it came back from copies
    */
   record ConfigObjects(
       StoreId storeId,
@@ -29,10 +31,12 @@
       long revision,
       int part,
       int parts,
+      List<RevisionRange> lost,
       List<StoredObject> objects)
       implements ConfigMessage {
-    /** Copies the list. */
+    /** Copies the lists. */
     public ConfigObjects {
+      lost = List.copyOf(lost);
       objects = List.copyOf(objects);
     }
   }
--- a/lib/src/main/java/org/cowslipstair/port/PlatformStore.java
+++ b/lib/src/main/java/org/cowslipstair/port/PlatformStore.java
@@ -5,13 +5,14 @@
 import java.util.Set;
 import org.cowslipstair.model.config.ObjectKey;
 import org.cowslipstair.model.config.ObjectKind;
+import org.cowslipstair.model.config.RevisionRange;
 import org.cowslipstair.model.config.StoreId;
 import org.cowslipstair.model.config.StoredObject;
 import org.cowslipstair.model.fleet.InstanceEntry;
 
 /** Client of the platform's object store. Methods block; call them on virtual threads. */
 public interface PlatformStore {
-  /** Returns all objects of the given kinds. */
+  /** Returns all objects of the given kinds, and some tombstones. */
   ObjectBatch list(Set<ObjectKind> kinds) throws StoreException;
 
   /** Returns one object; empty if it does not exist. */
@@ -44,12 +45,21 @@
    * Result of a list or a watch.
    *
    * @param revision revision of the store that the result reflects
-   * @param objects objects; a watch includes tombstones
+   * @param lost revisions that the store lost each time that it came back from a copy
+   * @param objects objects; a watch includes tombstones, a list those of objects deleted since the
+   *     store last came back from a copy
    */
-  record ObjectBatch(StoreId storeId, long revision, List<StoredObject> objects) {
-    /** Copies the list. */
+  record ObjectBatch(
+      StoreId storeId, long revision, List<RevisionRange> lost, List<StoredObject> objects) {
+    /** Copies the lists. */
     public ObjectBatch {
+      lost = List.copyOf(lost);
       objects = List.copyOf(objects);
     }
+
+    /** Creates the result of a store that never came back from a copy. */
+    public ObjectBatch(StoreId storeId, long revision, List<StoredObject> objects) {
+      this(storeId, revision, List.of(), objects);
+    }
   }
 }
--- a/lib/src/main/java/org/cowslipstair/runtime/config/ConfigRuntime.java
+++ b/lib/src/main/java/org/cowslipstair/runtime/config/ConfigRuntime.java
@@ -14,6 +14,7 @@
 import org.cowslipstair.model.config.ConfigSnapshot;
 import org.cowslipstair.model.config.ConfigVersion;
 import org.cowslipstair.model.config.StoreId;
+import org.cowslipstair.model.config.StoreRevision;
 import org.cowslipstair.model.fleet.GatewayName;
 import org.cowslipstair.model.peer.ConfigMessage;
 import org.cowslipstair.port.MonotonicClock;
@@ -167,6 +168,13 @@
           LOG.errorf(
               "config: store \"%s\" at revision %d is refused: %s",
               refused.store().storeId(), refused.store().revision(), refused.store().reason());
+      case ConfigEvent.StoreReturned returned ->
+          LOG.warnf(
+              "config: store \"%s\" has come back from a copy, revision %d; lost writes after %d stay"
+                  + " in force",
+              returned.storeId(),
+              StoreRevision.number(returned.revision()),
+              StoreRevision.number(returned.lost().after()));
       case ConfigEvent.StoreRestored restored ->
           LOG.infof("config: store \"%s\" is no longer refused", restored.storeId());
       case ConfigEvent.StoreAccepted accepted ->
--- a/lib/src/main/java/org/cowslipstair/runtime/config/ConfigWatcher.java
+++ b/lib/src/main/java/org/cowslipstair/runtime/config/ConfigWatcher.java
@@ -123,7 +123,8 @@
     ConfigVersion versionAtRequest = runtime.versionInForce();
     ObjectBatch batch = store.list(configurationKinds());
     return applyBatch(
-        new ConfigBatch(batch.storeId(), 0, batch.revision(), batch.objects()), versionAtRequest);
+        new ConfigBatch(batch.storeId(), 0, batch.revision(), batch.lost(), batch.objects()),
+        versionAtRequest);
   }
 
   private boolean watchOnce(long timeoutMs) throws StoreException, InterruptedException {
@@ -131,7 +132,11 @@
     ObjectBatch batch = store.watch(configurationKinds(), versionAtRequest.revision(), timeoutMs);
     return applyBatch(
         new ConfigBatch(
-            batch.storeId(), versionAtRequest.revision(), batch.revision(), batch.objects()),
+            batch.storeId(),
+            versionAtRequest.revision(),
+            batch.revision(),
+            batch.lost(),
+            batch.objects()),
         versionAtRequest);
   }
 
--- a/lib/src/test/java/org/cowslipstair/logic/config/ConfigCoreTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/config/ConfigCoreTest.java
@@ -12,7 +12,6 @@
 import org.cowslipstair.model.config.StoredObject;
 import org.cowslipstair.model.fleet.GatewayName;
 import org.cowslipstair.model.peer.ConfigMessage.ConfigObjects;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 class ConfigCoreTest {
@@ -84,18 +83,18 @@
 
   /**
    * Incident 5 in the other data path: a change that is confirmed after the store has come back
-   * from a copy is not in force until an operator accepts the store.
+   * from a copy was not in force until an operator accepted the store.
    */
   @Test
-  @Tag("known-red")
   void changeAfterTheStoresReturnFromACopyIsInForceWithNobodyWatching() {
     SimulatedConfigFleet fleet = startFleet();
     InMemoryStore copy = fleet.store.copy("store-a");
     fleet.store.write(1, "out");
     fleet.store.write(2, "out");
     fleet.run(1_000);
-    fleet.store = copy;
+    fleet.store = copy.returnInPlaceOf(fleet.store);
     fleet.run(1_000);
+    assertZoneStates(fleet, "out");
     fleet.store.write(2, "out");
     fleet.store.write(1, "out");
     fleet.store.write(2, "new");
@@ -104,6 +103,38 @@
     fleet.nodes.values().forEach(node -> assertThat(node.stateOf(2), is("new")));
   }
 
+  /**
+   * One gateway lags at the return, one starts after it; what the copy lacks is written never
+   * again.
+   */
+  @Test
+  void writesThatTheCopyLacksReachAllGatewaysAndStayInForce() {
+    SimulatedConfigFleet fleet = startFleet();
+    fleet.store.write(3, "in");
+    fleet.run(1_000);
+    InMemoryStore copy = fleet.store.copy("store-a");
+    fleet.node(2).isCutOff = true;
+    fleet.node(2).isWatchStuck = true;
+    fleet.store.write(1, "out");
+    fleet.store.write(7, "new");
+    fleet.store.delete(3);
+    fleet.run(1_000);
+    fleet.store = copy.returnInPlaceOf(fleet.store);
+    fleet.run(1_000);
+    fleet.node(2).isCutOff = false;
+    fleet.node(2).isWatchStuck = false;
+    fleet.start(9);
+    fleet.run(30_000);
+    fleet.store.write(2, "later");
+    fleet.run(4_000);
+    for (Node node : fleet.nodes.values()) {
+      assertThat(node.stateOf(1), is("out"));
+      assertThat(node.stateOf(7), is("new"));
+      assertThat(node.stateOf(3), is("absent"));
+      assertThat(node.stateOf(2), is("later"));
+    }
+  }
+
   @Test
   void storeRestoredFromBackupWithSameIdIsRefusedUntilAccepted() {
     SimulatedConfigFleet fleet = startFleet();
@@ -162,7 +193,8 @@
     fleet.store.write(2, "out");
     StoredObject last = fleet.store.write(1, "out");
 
-    ConfigObjects afterGap = new ConfigObjects(fleet.store.id, 0, 3, 4, 0, 1, List.of(last));
+    ConfigObjects afterGap =
+        new ConfigObjects(fleet.store.id, 0, 3, 4, 0, 1, List.of(), List.of(last));
     fleet.apply(node, node.core.onMessage(new GatewayName("gw-1"), afterGap, 0));
 
     assertThat(node.stateOf(1), is("out"));
@@ -177,8 +209,10 @@
     StoredObject object = fleet.store.write(1, "out");
     StoredObject foreign = new StoredObject(InMemoryStore.key(3), 4, "x", false, "in");
 
-    node.core.onMessage(peer, new ConfigObjects(OTHER_STORE, 1, 0, 4, 0, 2, List.of(foreign)), 0);
-    ConfigObjects second = new ConfigObjects(fleet.store.id, 0, 0, 4, 1, 2, List.of(object));
+    node.core.onMessage(
+        peer, new ConfigObjects(OTHER_STORE, 1, 0, 4, 0, 2, List.of(), List.of(foreign)), 0);
+    ConfigObjects second =
+        new ConfigObjects(fleet.store.id, 0, 0, 4, 1, 2, List.of(), List.of(object));
     List<ConfigAction> actions = node.core.onMessage(peer, second, 0);
 
     assertThat(actions.isEmpty(), is(true));
--- a/lib/src/test/java/org/cowslipstair/logic/config/ConfigFaultsTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/config/ConfigFaultsTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.is;
 
 import java.util.List;
+import java.util.Optional;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
@@ -27,6 +28,8 @@
     STORE_DOWN,
     STORE_UP,
     STORE_SLOW,
+    COPY_STORE,
+    RETURN_TO_COPY,
     STICK_WATCH,
     CUT_OFF,
     REJOIN,
@@ -101,6 +104,9 @@
       case STORE_DOWN -> fleet.isStoreUp = false;
       case STORE_UP -> fleet.isStoreUp = true;
       case STORE_SLOW -> fleet.storeDelayMs = step.durationMs();
+      case COPY_STORE -> fleet.copy = Optional.of(fleet.store.copy("store-a"));
+      case RETURN_TO_COPY ->
+          fleet.copy.ifPresent(copy -> fleet.store = copy.returnInPlaceOf(fleet.store));
       case STICK_WATCH -> {
         if (step.gateway() != 0) {
           node.isWatchStuck = true; // Permanently; gateway 0 always keeps a working watch.
--- a/lib/src/test/java/org/cowslipstair/logic/config/InMemoryStore.java
+++ b/lib/src/test/java/org/cowslipstair/logic/config/InMemoryStore.java
@@ -7,7 +7,9 @@
 import org.cowslipstair.model.config.Labels;
 import org.cowslipstair.model.config.ObjectKey;
 import org.cowslipstair.model.config.ObjectKind;
+import org.cowslipstair.model.config.RevisionRange;
 import org.cowslipstair.model.config.StoreId;
+import org.cowslipstair.model.config.StoreRevision;
 import org.cowslipstair.model.config.StoredObject;
 import org.cowslipstair.model.config.Zone;
 import org.cowslipstair.model.config.ZoneName;
@@ -26,6 +28,7 @@
   private final SortedMap<ObjectKey, StoredObject> objects = new TreeMap<>();
   StoreId id;
   long revision;
+  private List<RevisionRange> lost = List.of();
 
   InMemoryStore(String id) {
     this.id = new StoreId(id);
@@ -53,14 +56,18 @@
 
   ConfigBatch list() {
     List<StoredObject> live = new ArrayList<>(objects.values());
-    live.removeIf(StoredObject::deleted);
-    return new ConfigBatch(id, 0, revision, live);
+    live.removeIf(object -> object.deleted() && !isWrittenSinceReturn(object));
+    return new ConfigBatch(id, 0, revision, lost, live);
+  }
+
+  private boolean isWrittenSinceReturn(StoredObject object) {
+    return !lost.isEmpty() && object.version() > lost.getLast().before();
   }
 
   ConfigBatch after(long afterRevision) {
     List<StoredObject> newer = new ArrayList<>(objects.values());
     newer.removeIf(object -> object.version() <= afterRevision);
-    return new ConfigBatch(id, afterRevision, revision, newer);
+    return new ConfigBatch(id, afterRevision, revision, lost, newer);
   }
 
   /** Returns a backup of the current state under the given store ID. */
@@ -68,6 +75,17 @@
     InMemoryStore copy = new InMemoryStore(newId);
     copy.objects.putAll(objects);
     copy.revision = revision;
+    copy.lost = lost;
     return copy;
   }
+
+  /** Returns the store that comes back from this copy of another one's past, and tells so. */
+  InMemoryStore returnInPlaceOf(InMemoryStore other) {
+    long epoch = StoreRevision.epoch(other.revision) + 1;
+    InMemoryStore returned = copy(other.id.value());
+    returned.revision = StoreRevision.of(epoch, StoreRevision.number(revision));
+    returned.lost = new ArrayList<>(lost);
+    returned.lost.add(new RevisionRange(revision, StoreRevision.of(epoch, 0)));
+    return returned;
+  }
 }
--- a/lib/src/test/java/org/cowslipstair/logic/config/SimulatedConfigFleet.java
+++ b/lib/src/test/java/org/cowslipstair/logic/config/SimulatedConfigFleet.java
@@ -12,6 +12,7 @@
 import org.cowslipstair.logic.invariant.InvariantMonitor;
 import org.cowslipstair.model.config.ConfigSnapshot;
 import org.cowslipstair.model.config.ConfigVersion;
+import org.cowslipstair.model.config.StoreRevision;
 import org.cowslipstair.model.config.ZoneName;
 import org.cowslipstair.model.fleet.GatewayName;
 import org.cowslipstair.model.peer.ConfigMessage;
@@ -30,6 +31,7 @@
   private long taskNumber;
   long nowMs;
   InMemoryStore store = new InMemoryStore("store-a");
+  Optional<InMemoryStore> copy = Optional.empty();
   boolean isStoreUp = true;
   int storeDelayMs = 5;
   int lossPercent;
@@ -146,7 +148,9 @@
     if (node.isStopped) {
       return;
     }
-    boolean isRevisionGone = !isList && store.revision < versionAtRequest.revision();
+    long known = versionAtRequest.revision();
+    boolean isOtherEpoch = StoreRevision.epoch(store.revision) != StoreRevision.epoch(known);
+    boolean isRevisionGone = !isList && (store.revision < known || isOtherEpoch);
     if (!isStoreUp) {
       endCall(node, 250 + random.nextInt(2_000));
     } else if (isRevisionGone) {
--- a/standins/src/main/java/org/cowslipstair/standins/store/StoreObject.java
+++ b/standins/src/main/java/org/cowslipstair/standins/store/StoreObject.java
@@ -6,14 +6,27 @@
 /**
  * An object in the store, in the form in which it is sent to clients.
  *
+ * @param epoch epoch of the store in which the object was last written
  * @param version revision of the store at which the object was last written
  */
 public record StoreObject(
-    String kind, String name, long version, String changeId, boolean deleted, JsonNode body) {
+    String kind,
+    String name,
+    long epoch,
+    long version,
+    String changeId,
+    boolean deleted,
+    JsonNode body) {
   /** Returns the tombstone that records the deletion of this object. */
-  StoreObject tombstone(long deletedAtVersion, String deleteChangeId) {
+  StoreObject tombstone(long deletedInEpoch, long deletedAtVersion, String deleteChangeId) {
     return new StoreObject(
-        kind, name, deletedAtVersion, deleteChangeId, true, JsonNodeFactory.instance.objectNode());
+        kind,
+        name,
+        deletedInEpoch,
+        deletedAtVersion,
+        deleteChangeId,
+        true,
+        JsonNodeFactory.instance.objectNode());
   }
 
   String key() {
--- a/standins/src/main/java/org/cowslipstair/standins/store/StoreServer.java
+++ b/standins/src/main/java/org/cowslipstair/standins/store/StoreServer.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import org.cowslipstair.standins.store.StoreState.ExpectedVersion;
 import org.cowslipstair.standins.store.StoreState.WriteResult;
 import org.eclipse.jetty.ee10.servlet.ServletContextRequest;
 
@@ -123,8 +124,8 @@
   /**
    * Restores a backup: later writes are lost and their revisions are assigned again.
    *
-   * @param newIdentity whether the store gets a new storeId, which makes the restore visible to
-   *     clients
+   * @param newIdentity whether the store gets a new storeId; otherwise it tells that it has come
+   *     back from a copy
    */
   public void restore(Backup backup, boolean newIdentity) {
     state.restore(backup.snapshot, newIdentity);
@@ -226,7 +227,7 @@
             ctx.pathParam("kind"),
             ctx.pathParam("name"),
             body.get(),
-            ifVersion.get(),
+            new ExpectedVersion(longParameter(ctx, "ifEpoch"), ifVersion.get()),
             changeId(ctx)));
   }
 
@@ -238,7 +239,11 @@
     }
     respond(
         ctx,
-        state.delete(ctx.pathParam("kind"), ctx.pathParam("name"), ifVersion.get(), changeId(ctx)));
+        state.delete(
+            ctx.pathParam("kind"),
+            ctx.pathParam("name"),
+            new ExpectedVersion(longParameter(ctx, "ifEpoch"), ifVersion.get()),
+            changeId(ctx)));
   }
 
   private static void respond(Context ctx, WriteResult result) throws JsonProcessingException {
@@ -263,7 +268,12 @@
     calls.watchStarted();
     try {
       Optional<StoreState.Batch> batch =
-          state.watch(kinds(ctx), after.get(), timeoutMs.get(), () -> faults.get().watchStuck());
+          state.watch(
+              kinds(ctx),
+              longParameter(ctx, "epoch"),
+              after.get(),
+              timeoutMs.get(),
+              () -> faults.get().watchStuck());
       if (batch.isEmpty()) {
         ctx.status(410);
       } else if (faults.get().down()) {
--- a/standins/src/main/java/org/cowslipstair/standins/store/StoreState.java
+++ b/standins/src/main/java/org/cowslipstair/standins/store/StoreState.java
@@ -19,6 +19,7 @@
 /** Objects, revisions and events of the store. Thread-safe. */
 final class StoreState {
   private static final int MAX_RETAINED_EVENTS = 10_000;
+  private static final int MAX_RETURNS = 16;
   private static final long STUCK_WATCH_POLL_MS = 20;
 
   private final ReentrantLock lock = new ReentrantLock();
@@ -26,11 +27,44 @@
   private final Map<String, StoreObject> objects = new TreeMap<>();
   private final Deque<StoreObject> events = new ArrayDeque<>();
   private String storeId = UUID.randomUUID().toString();
+  private long epoch;
   private long revision;
+  private List<Return> returns = List.of();
   private long oldestRevision;
 
-  /** Objects at one revision. */
-  record Batch(String storeId, long revision, List<StoreObject> objects) {}
+  /**
+   * Objects at one revision.
+   *
+   * @param epoch number of times that the store has come back from a copy under this identity
+   * @param returns the returns that its history contains, oldest first
+   */
+  record Batch(
+      String storeId, long epoch, long revision, List<Return> returns, List<StoreObject> objects) {}
+
+  /**
+   * A return from a copy.
+   *
+   * @param epoch epoch that began with it
+   * @param copyEpoch epoch of the last write in the copy
+   * @param copyRevision revision of the last write in the copy
+   */
+  record Return(long epoch, long copyEpoch, long copyRevision) {}
+
+  /**
+   * Version that an object must have to be written.
+   *
+   * @param epoch epoch of the version; empty if any will do
+   * @param version version; 0 if the object must not exist
+   */
+  record ExpectedVersion(Optional<Long> epoch, long version) {
+    private boolean matches(@Nullable StoreObject object) {
+      if (object == null) {
+        return version == 0;
+      }
+      return object.version() == version
+          && epoch.filter(expected -> expected != object.epoch()).isEmpty();
+    }
+  }
 
   /** Result of a conditional write. */
   sealed interface WriteResult {
@@ -47,12 +81,27 @@
   Batch list(Set<String> kinds) {
     lock.lock();
     try {
-      return new Batch(storeId, revision, select(objects.values(), kinds, 0));
+      return batch(revision, listed(kinds));
     } finally {
       lock.unlock();
     }
   }
 
+  /** Returns the objects, and the tombstones of those deleted since the last return from a copy. */
+  private List<StoreObject> listed(Set<String> kinds) {
+    List<StoreObject> listed = select(objects.values(), kinds, 0);
+    if (!returns.isEmpty()) {
+      select(events, kinds, returns.getLast().copyRevision()).stream()
+          .filter(StoreObject::deleted)
+          .forEach(listed::add);
+    }
+    return listed;
+  }
+
+  private Batch batch(long upToRevision, List<StoreObject> selected) {
+    return new Batch(storeId, epoch, upToRevision, returns, selected);
+  }
+
   Optional<StoreObject> get(String kind, String name) {
     lock.lock();
     try {
@@ -62,11 +111,12 @@
     }
   }
 
-  WriteResult put(String kind, String name, JsonNode body, long ifVersion, String changeId) {
+  WriteResult put(
+      String kind, String name, JsonNode body, ExpectedVersion expected, String changeId) {
     lock.lock();
     try {
       StoreObject current = objects.get(StoreObject.keyOf(kind, name));
-      if (versionOf(current) != ifVersion) {
+      if (!expected.matches(current)) {
         return new WriteResult.Conflict(Optional.ofNullable(current));
       }
       return new WriteResult.Written(write(kind, name, body, changeId));
@@ -80,7 +130,7 @@
     lock.lock();
     try {
       revision++;
-      StoreObject written = new StoreObject(kind, name, revision, changeId, false, body);
+      StoreObject written = new StoreObject(kind, name, epoch, revision, changeId, false, body);
       objects.put(written.key(), written);
       addEvent(written);
       return written;
@@ -89,19 +139,19 @@
     }
   }
 
-  WriteResult delete(String kind, String name, long ifVersion, String changeId) {
+  WriteResult delete(String kind, String name, ExpectedVersion expected, String changeId) {
     lock.lock();
     try {
       StoreObject current = objects.get(StoreObject.keyOf(kind, name));
       if (current == null) {
         return new WriteResult.NotFound();
       }
-      if (current.version() != ifVersion) {
+      if (!expected.matches(current)) {
         return new WriteResult.Conflict(Optional.of(current));
       }
       revision++;
       objects.remove(current.key());
-      StoreObject tombstone = current.tombstone(revision, changeId);
+      StoreObject tombstone = current.tombstone(epoch, revision, changeId);
       addEvent(tombstone);
       return new WriteResult.Written(tombstone);
     } finally {
@@ -110,20 +160,26 @@
   }
 
   /** Waits for events; empty if the events after the revision are not available. */
-  Optional<Batch> watch(Set<String> kinds, long after, long timeoutMs, BooleanSupplier watchStuck)
+  Optional<Batch> watch(
+      Set<String> kinds,
+      Optional<Long> knownEpoch,
+      long after,
+      long timeoutMs,
+      BooleanSupplier watchStuck)
       throws InterruptedException {
     long deadlineNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
     lock.lockInterruptibly();
     try {
       while (true) {
         boolean isStuck = watchStuck.getAsBoolean();
-        if (!isStuck && (after < oldestRevision || after > revision)) {
+        boolean isOtherEpoch = knownEpoch.filter(known -> known != epoch).isPresent();
+        if (!isStuck && (isOtherEpoch || after < oldestRevision || after > revision)) {
           return Optional.empty();
         }
         List<StoreObject> matching = isStuck ? List.of() : select(events, kinds, after);
         long remainingNs = deadlineNs - System.nanoTime();
         if (!matching.isEmpty() || remainingNs <= 0) {
-          return Optional.of(new Batch(storeId, isStuck ? after : revision, matching));
+          return Optional.of(batch(isStuck ? after : revision, matching));
         }
         long waitNs = isStuck ? TimeUnit.MILLISECONDS.toNanos(STUCK_WATCH_POLL_MS) : remainingNs;
         stateChanged.awaitNanos(Math.min(waitNs, remainingNs));
@@ -137,13 +193,15 @@
   Batch snapshot() {
     lock.lock();
     try {
-      return new Batch(storeId, revision, List.copyOf(objects.values()));
+      return batch(revision, List.copyOf(objects.values()));
     } finally {
       lock.unlock();
     }
   }
 
-  /** Restores an earlier snapshot, with its identity or with a new one. */
+  /**
+   * Restores an earlier snapshot: under its identity, in the next epoch, or under a new identity.
+   */
   void restore(Batch snapshot, boolean newIdentity) {
     lock.lock();
     try {
@@ -152,7 +210,17 @@
       events.clear();
       revision = snapshot.revision();
       oldestRevision = revision;
-      storeId = newIdentity ? UUID.randomUUID().toString() : snapshot.storeId();
+      if (newIdentity) {
+        epoch = snapshot.epoch();
+        returns = snapshot.returns();
+        storeId = UUID.randomUUID().toString();
+      } else {
+        epoch++;
+        returns = new ArrayList<>(snapshot.returns());
+        returns.add(new Return(epoch, snapshot.epoch(), snapshot.revision()));
+        returns =
+            List.copyOf(returns.subList(Math.max(0, returns.size() - MAX_RETURNS), returns.size()));
+      }
       stateChanged.signalAll();
     } finally {
       lock.unlock();
@@ -176,10 +244,6 @@
     stateChanged.signalAll();
   }
 
-  private static long versionOf(@Nullable StoreObject object) {
-    return object == null ? 0 : object.version();
-  }
-
   /** Selects the objects of the given kinds written after a version; only their last states. */
   private static List<StoreObject> select(
       Iterable<StoreObject> from, Set<String> kinds, long after) {
