--- a/lib/src/main/java/org/cowslipstair/logic/config/ObjectTable.java
+++ b/lib/src/main/java/org/cowslipstair/logic/config/ObjectTable.java
@@ -110,7 +110,8 @@
   boolean merge(StoredObject stored) {
     Entry existing = entries.get(stored.key());
     if (existing == null) {
-      boolean isUnknown = stored.version() > revision || isLost(stored.version());
+      boolean isUnknown =
+          stored.version() > revision || isLost(stored.version()) || mayHaveReturned(stored);
       return isUnknown && put(stored, Optional.empty());
     }
     if (stored.version() > existing.latest().version()) {
@@ -198,7 +199,7 @@
       Entry existing = entries.get(object.key());
       boolean isConsistent =
           existing == null
-              ? object.deleted() || isLost(object.version()) || mayHaveLostDeletion(object)
+              ? object.deleted() || isLost(object.version()) || mayHaveReturned(object)
               : isConsistent(object, existing);
       if (!isConsistent) {
         return false;
@@ -211,8 +212,10 @@
     return lost.stream().anyMatch(range -> version > range.after());
   }
 
-  /** Returns whether an object may have been deleted by a write that the store has lost. */
-  private boolean mayHaveLostDeletion(StoredObject object) {
+  /**
+   * Returns whether the store may have lost the deletion of an object, so that it is there again.
+   */
+  private boolean mayHaveReturned(StoredObject object) {
     return lost.stream().anyMatch(range -> object.version() <= range.after());
   }
 
