--- a/lib/src/main/java/org/cowslipstair/logic/config/ConfigCore.java
+++ b/lib/src/main/java/org/cowslipstair/logic/config/ConfigCore.java
@@ -240,8 +240,10 @@
     StoreEpoch peerEpoch = new StoreEpoch(message.storeId(), message.storeTerm());
     if (epoch.filter(peerEpoch::equals).isPresent()) {
       recordLost(batch);
-      boolean isFullAndCurrent = batch.isFull() && batch.revision() >= table.revision();
-      if (!isFullAndCurrent || table.isConsistentWith(batch.objects())) {
+      // A store that tells its returns gives no revision out twice, so histories cannot mix.
+      boolean isComparable =
+          batch.isFull() && batch.revision() >= table.revision() && table.lost().isEmpty();
+      if (!isComparable || table.isConsistentWith(batch.objects())) {
         merge(batch);
       }
       return;
--- a/lib/src/main/java/org/cowslipstair/logic/config/ObjectTable.java
+++ b/lib/src/main/java/org/cowslipstair/logic/config/ObjectTable.java
@@ -221,7 +221,11 @@
 
   private boolean isConsistent(StoredObject listed, Entry existing) {
     StoredObject latest = existing.latest();
-    if (latest.version() > revision || isLost(latest.version()) || isLost(listed.version())) {
+    boolean areBothDeleted = latest.deleted() && listed.deleted();
+    if (latest.version() > revision || areBothDeleted) {
+      return true;
+    }
+    if (isLost(latest.version()) || isLost(listed.version())) {
       return true;
     }
     boolean isLatest =
