A crash that another request explains does not count against a request beside one of its own

The log shows why: for 14 s every safe request of every caller got 503 crashes_backends. They are one request (same method, host, target, no credentials, no body); it had run on a server that crashed by itself and on one that a deadly request crashed, while four of six gateways were killed, so nothing completed in between to clear it. Once held back, nothing of it ran any more that could have cleared it before its trial after 30 s.

The rule of two crashes counted the second one, though the deadly request had as much evidence against it. Now two crashes must both be the request's own, that is, without another suspect that has more evidence against it; the rule of three is as before (one of them its own). The cost: where two requests have one shared and one own crash each, nobody is held back before the next crash, the third.

Ruled out: load (the refusals name their reason), the trial of a deadly request (85ebe5 was held back in time).

QuarantineTableTest.sharedCrashDoesNotCountAgainstARequestBesideOneOfItsOwn failed before.

--- a/lib/src/main/java/org/cowslipstair/logic/quarantine/QuarantineTable.java
+++ b/lib/src/main/java/org/cowslipstair/logic/quarantine/QuarantineTable.java
@@ -20,9 +20,10 @@
 /**
  * Decides which requests are held back because backend servers crash while they run them. All
  * requests that ran on a server when it crashed are suspected; a complete response clears one of
- * them, so that the blame falls on the others. A request is held back after three crashes unless
- * another one ran on all these servers and on more, or after two of which one has no other suspect,
- * unless servers have crashed lately for other reasons. Not thread-safe.
+ * them, so that the blame falls on the others. A crash is a request's own if no other one has more
+ * evidence against it. A request is held back after three crashes of which one is its own, or after
+ * two that are its own, one of them without any other suspect, unless servers have crashed lately
+ * for other reasons. Not thread-safe.
  */
 public final class QuarantineTable {
   /** Number of crashes after which a request is held back in any case. */
@@ -197,26 +198,29 @@
 
   /** Returns whether a request is held back. */
   public boolean isHeldBack(SuspectRequest suspect, long nowNs) {
-    int crashCount = suspect.crashCount();
-    return crashCount >= MAX_CRASHES && !isExplainedByOthers(suspect, nowNs)
-        || crashCount >= MIN_CRASHES
+    long ownCrashes = ownCrashes(suspect, nowNs);
+    return ownCrashes > 0 && suspect.crashCount() >= MAX_CRASHES
+        || ownCrashes >= MIN_CRASHES
             && hasCrashWithoutOtherSuspects(suspect, nowNs)
             && !hasUnexplainedCrash(nowNs);
   }
 
   /**
-   * Returns whether each crash has another suspect with more evidence against it. If this one is to
-   * blame too, its next crash tells, which those others have no part in.
+   * Returns the number of crashes for which no other request has more evidence against it. If this
+   * one is to blame for the others too, its next crash tells, in which those have no part.
    */
-  private boolean isExplainedByOthers(SuspectRequest suspect, long nowNs) {
+  private long ownCrashes(SuspectRequest suspect, long nowNs) {
     return suspect.crashes().entrySet().stream()
         .filter(entry -> !entry.getValue().isCleared())
-        .allMatch(
-            entry ->
-                suspects.values().stream()
-                    .filter(other -> !other.fingerprint().equals(suspect.fingerprint()))
-                    .filter(other -> other.isSuspectedOf(entry.getKey()))
-                    .anyMatch(other -> isMoreSuspect(other, suspect, nowNs)));
+        .filter(entry -> !isExplainedByAnother(suspect, entry.getKey(), nowNs))
+        .count();
+  }
+
+  private boolean isExplainedByAnother(SuspectRequest suspect, BackendProcess process, long nowNs) {
+    return suspects.values().stream()
+        .filter(other -> !other.fingerprint().equals(suspect.fingerprint()))
+        .filter(other -> other.isSuspectedOf(process))
+        .anyMatch(other -> isMoreSuspect(other, suspect, nowNs));
   }
 
   private boolean isMoreSuspect(SuspectRequest other, SuspectRequest suspect, long nowNs) {
@@ -308,9 +312,7 @@
   /** Records that a suspected request is sent, and checks that the fleet holds it back in time. */
   public void recordSend(RequestFingerprint fingerprint, long nowNs) {
     SuspectRequest suspect = suspects.get(fingerprint);
-    if (suspect == null
-        || suspect.crashCount() < MAX_CRASHES
-        || isExplainedByOthers(suspect, nowNs)) {
+    if (suspect == null || suspect.crashCount() < MAX_CRASHES || ownCrashes(suspect, nowNs) == 0) {
       return;
     }
     if (nowNs - suspect.crashTimesNs().get(MAX_CRASHES - 1) > NOTICE_NS) {
--- a/lib/src/test/java/org/cowslipstair/logic/quarantine/QuarantineTableTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/quarantine/QuarantineTableTest.java
@@ -86,6 +86,19 @@
     assertThat(violations, hasSize(0));
   }
 
+  /** Soak seed 429: all callers of a page got refusals, since their requests are the same. */
+  @Test
+  void sharedCrashDoesNotCountAgainstARequestBesideOneOfItsOwn() {
+    crash(INNOCENT, 1, 1);
+    crash(DEADLY, 2, 1.5);
+    crash(DEADLY, 3, 2);
+    crash(INNOCENT, 3, 2);
+    assertThat(verdict(INNOCENT, 3), is(new QuarantineVerdict.Suspected(2)));
+    crash(DEADLY, 4, 4);
+    assertThat(verdict(DEADLY, 5), is(instanceOf(QuarantineVerdict.HeldBack.class)));
+    assertThat(verdict(INNOCENT, 5), is(new QuarantineVerdict.Suspected(2)));
+  }
+
   @Test
   void secondDeadlyRequestIsHeldBackAfterOneCrashOfItsOwn() {
     for (int i = 1; i <= 3; i++) {
