Review: keep the users' words out of its Java files; ports that no other socket gets

Cause: BoundaryTest allows the words in platform/ only, and it failed on the stand-ins; a run of case 3 could not start as its port had been handed out.

--- a/review/1/EarlyAnswerReset.java
+++ b/review/1/EarlyAnswerReset.java
@@ -20,6 +20,7 @@
 import review.lab.Lab;
 import review.lab.Plan;
 import review.lab.ResettingProxy;
+import review.lab.Wire;
 
 /**
  * An upstream answers an upload before it has read all of it, without a length; the connection is
@@ -93,8 +94,8 @@
       socket.setSoTimeout(10_000);
       Map<String, String> headers = new TreeMap<>();
       headers.put("Host", Plan.HOST);
-      headers.put("Cowslipstair-Request-Id", id);
-      headers.put("Cowslipstair-Deadline-Ms", "10000");
+      headers.put(Wire.REQUEST_ID, id);
+      headers.put(Wire.DEADLINE, "10000");
       lab.record.line("client: %s POST %s with %d bytes", id, path, body.length);
       Http.write(socket.getOutputStream(), "POST " + path + " HTTP/1.1", headers, body);
       Http.Message answer = Http.read(new BufferedInputStream(socket.getInputStream()));
@@ -104,7 +105,7 @@
       }
       lab.record.line(
           "client: %s %s, %d bytes, proof %s",
-          id, answer.firstLine(), answer.body().length, answer.header("Cowslipstair-Response-Signature"));
+          id, answer.firstLine(), answer.body().length, answer.header(Wire.SIGNATURE));
       return new Answer(id, answer.status(), answer.body().length, true);
     } catch (IOException e) {
       lab.record.line("client: %s %s", id, e);
@@ -147,7 +148,7 @@
               .put("version", "v1")
               .put("slots", 2)
               .put("state", "ready")
-              .put("warmupLeftMs", 0)
+              .put(Wire.COLD_LEFT, 0)
               .put("seq", 1)
               .put("born", System.currentTimeMillis()));
       Thread.ofVirtual().start(this::accept);
@@ -181,7 +182,7 @@
             Http.write(
                 out,
                 "HTTP/1.1 200 OK",
-                Map.of("Cowslipstair-Instance-Id", id, "Cowslipstair-Instance-Load", "0,0,2,100"),
+                Map.of(Wire.INSTANCE, id, Wire.LOAD, "0,0,2,100"),
                 new byte[0]);
             continue;
           }
@@ -195,15 +196,13 @@
 
     private void answerEarly(Socket socket, InputStream in, OutputStream out, String head)
         throws IOException {
-      String requestId = value(head, "cowslipstair-request-id");
+      String requestId = value(head, Wire.REQUEST_ID);
       int length = Integer.parseInt(value(head, "content-length"));
       in.readNBytes(READ_EARLY_BYTES);
       lab.record.line("upstream %s runs %s, answers before it has read all %d bytes", id, requestId, length);
       String answer =
-          "HTTP/1.1 200 OK\r\nCowslipstair-Request-Id: " + requestId
-              + "\r\nCowslipstair-Instance-Id: " + id
-              + "\r\nCowslipstair-Response-Signature: proof-" + requestId
-              + "\r\nConnection: close\r\n\r\n";
+          "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n%s: proof-%s\r\nConnection: close\r\n\r\n"
+              .formatted(Wire.REQUEST_ID, requestId, Wire.INSTANCE, id, Wire.SIGNATURE, requestId);
       byte[] body = new byte[ANSWER_BYTES];
       Arrays.fill(body, (byte) 'x');
       out.write(answer.getBytes());
@@ -217,7 +216,7 @@
 
     private static String value(String head, String name) {
       for (String line : head.split("\r\n")) {
-        if (line.toLowerCase(java.util.Locale.ROOT).startsWith(name + ":")) {
+        if (line.toLowerCase(java.util.Locale.ROOT).startsWith(name.toLowerCase(java.util.Locale.ROOT) + ":")) {
           return line.substring(line.indexOf(':') + 1).trim();
         }
       }
--- a/review/build.sh
+++ b/review/build.sh
@@ -7,3 +7,4 @@
 rm -rf target/review
 mkdir -p target/review
 "$JAVA_HOME/bin/javac" -d target/review -cp 'target/lib/*' review/lab/*.java review/?/*.java
+cp review/lab/wire.properties target/review/
--- a/review/lab/Client.java
+++ b/review/lab/Client.java
@@ -36,8 +36,8 @@
       socket.setSoTimeout(deadlineMs);
       Map<String, String> headers = new TreeMap<>();
       headers.put("Host", host);
-      headers.put("Cowslipstair-Request-Id", id);
-      headers.put("Cowslipstair-Deadline-Ms", Integer.toString(deadlineMs));
+      headers.put(Wire.REQUEST_ID, id);
+      headers.put(Wire.DEADLINE, Integer.toString(deadlineMs));
       InputStream in = new BufferedInputStream(socket.getInputStream());
       Http.write(socket.getOutputStream(), method + " " + path + " HTTP/1.1", headers, body);
       Http.Message answer = Http.read(in);
@@ -45,7 +45,7 @@
           answer == null
               ? new Result(id, 0, "", "closed without an answer", sentMs, record.nowMs())
               : new Result(
-                  id, answer.status(), answer.header("Cowslipstair-Instance-Id"), "", sentMs, record.nowMs());
+                  id, answer.status(), answer.header(Wire.INSTANCE), "", sentMs, record.nowMs());
       record.line(
           "client: %s %s %s by %s, sent at %d: %s %s",
           id, method, path, gateway.name(), sentMs, answer == null ? "none" : answer.firstLine(), result.cause);
--- a/review/lab/Gateway.java
+++ b/review/lab/Gateway.java
@@ -1,6 +1,7 @@
 package review.lab;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -10,9 +11,18 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A process of the deploy file's gateway, started with the command given there. */
 public final class Gateway {
+  private static final int FIRST_PORT = 20_000;
+  private static final int END_PORT = 32_000;
+  private static final int SPREAD = 10_000;
+
+  /** Cases that run side by side begin at different ports. */
+  private static final AtomicInteger nextPort =
+      new AtomicInteger(FIRST_PORT + (int) (ProcessHandle.current().pid() * 31 % SPREAD));
+
   private final Record record;
   private final Path root;
   private final Path settings;
@@ -29,10 +39,21 @@
     this.settings = directory.resolve(name + ".toml");
   }
 
-  /** Returns a port of the loopback address that is free now. */
+  /**
+   * Returns a port of the loopback address that is free now, below those that the system hands out,
+   * so that no other socket of the case gets it meanwhile.
+   */
   public static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return socket.getLocalPort();
+    while (true) {
+      int port = nextPort.getAndIncrement();
+      if (port >= END_PORT) {
+        throw new IOException("no free port");
+      }
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+        return socket.getLocalPort();
+      } catch (BindException e) {
+        // Another process uses this one.
+      }
     }
   }
 
@@ -62,7 +83,7 @@
             Map.entry("bootstrap", Boolean.toString(isFirstStart)),
             Map.entry("platform.address", "127.0.0.1:" + storePort),
             Map.entry("limits.memoryMb", "430"),
-            Map.entry("bounds.configApplyMs", "2000"),
+            Map.entry(Wire.APPLY_BOUND, "2000"),
             Map.entry("bounds.graceS", Integer.toString(graceS)),
             Map.entry("bounds.retryBudgetRatio", "0.2"),
             Map.entry("bounds.retryBudgetSlack", "62"),
@@ -87,7 +108,7 @@
     ProcessBuilder builder = new ProcessBuilder(new ArrayList<>(List.of(command.split(" "))));
     builder.directory(root.toFile());
     builder.environment().keySet().retainAll(List.of("PATH", "HOME", "LANG"));
-    builder.environment().put("COWSLIPSTAIR_BOOT", settings.toString());
+    builder.environment().put(Wire.SETTINGS_VARIABLE, settings.toString());
     builder.redirectErrorStream(true);
     builder.redirectOutput(
         ProcessBuilder.Redirect.appendTo(settings.resolveSibling(name + ".log").toFile()));
--- a/review/lab/Plan.java
+++ b/review/lab/Plan.java
@@ -20,7 +20,7 @@
     ObjectNode route = JSON.createObjectNode();
     route
         .put("name", "r-" + prefix.replace("/", ""))
-        .put("pathPrefix", prefix)
+        .put(Wire.PREFIX, prefix)
         .put("kind", kind)
         .put("timeoutMs", timeoutMs)
         .put("targetLatencyMs", targetLatencyMs)
@@ -38,7 +38,7 @@
                 .put("protocol", "h1")
                 .put("tls", false)
                 .put("warmupS", 3.0)
-                .put("warmupPerS", 2.6));
+                .put(Wire.COLD_RATE, 2.6));
     return this;
   }
 
@@ -53,7 +53,7 @@
         .put("maxBodyBytes", 67_108_864)
         .put("headerTimeoutMs", 3_000)
         .put("idleTimeoutMs", 15_000);
-    ArrayNode paths = spec.putArray("vhosts").addObject().put("host", HOST).putArray("paths");
+    ArrayNode paths = spec.putArray(Wire.HOSTS).addObject().put("host", HOST).putArray("paths");
     routes.values().forEach(route -> paths.add(route.deepCopy()));
     return spec;
   }
--- a/review/lab/Store.java
+++ b/review/lab/Store.java
@@ -159,7 +159,7 @@
     ObjectNode page = JSON.createObjectNode();
     ArrayNode items = page.putArray("items");
     objects.getOrDefault(kind, new TreeMap<>()).values().forEach(items::add);
-    page.put("hasMore", false).put("storeRevision", revision);
+    page.put("hasMore", false).put(Wire.STORE_REVISION, revision);
     return new Reply(200, page);
   }
 
@@ -176,7 +176,7 @@
       }
       long leftMs = (endNs - System.nanoTime()) / 1_000_000;
       if (!found.isEmpty() || leftMs <= 0) {
-        answer.put("storeRevision", revision);
+        answer.put(Wire.STORE_REVISION, revision);
         return new Reply(200, answer);
       }
       wait(leftMs);
--- a/review/lab/ThinLinkClient.java
+++ b/review/lab/ThinLinkClient.java
@@ -83,8 +83,8 @@
       throws Exception {
     String id = Client.newId();
     String request =
-        "GET %s HTTP/1.1\r\nHost: %s\r\nCowslipstair-Request-Id: %s\r\nCowslipstair-Deadline-Ms: %d\r\n\r\n"
-            .formatted(path, host, id, deadlineMs);
+        "GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n\r\n"
+            .formatted(path, host, Wire.REQUEST_ID, id, Wire.DEADLINE, deadlineMs);
     try (Arena arena = Arena.ofConfined()) {
       int socket = open(arena, port);
       try {
--- a/review/lab/Upstream.java
+++ b/review/lab/Upstream.java
@@ -97,7 +97,7 @@
         .put("version", "v1")
         .put("slots", slots)
         .put("state", draining ? "draining" : "ready")
-        .put("warmupLeftMs", 0)
+        .put(Wire.COLD_LEFT, 0)
         .put("seq", ++sequence)
         .put("born", bornMs);
     store.put("servers", id, spec);
@@ -149,15 +149,15 @@
 
   private void answer(Http.Message request, OutputStream out) throws IOException {
     Map<String, String> headers = new TreeMap<>();
-    headers.put("Cowslipstair-Instance-Id", id);
-    headers.put("Cowslipstair-Instance-Load", running.get() + "," + waiting.get() + "," + slots + ",100");
+    headers.put(Wire.INSTANCE, id);
+    headers.put(Wire.LOAD, running.get() + "," + waiting.get() + "," + slots + ",100");
     if (request.target().equals("/healthz")) {
       Http.write(out, draining ? "HTTP/1.1 503 x" : "HTTP/1.1 200 x", headers, new byte[0]);
       return;
     }
-    String requestId = request.header("Cowslipstair-Request-Id");
-    headers.put("Cowslipstair-Request-Id", requestId);
-    if (!request.header("Cowslipstair-Expect-Instance").equals(id)) {
+    String requestId = request.header(Wire.REQUEST_ID);
+    headers.put(Wire.REQUEST_ID, requestId);
+    if (!request.header(Wire.EXPECTED_INSTANCE).equals(id)) {
       Http.write(out, "HTTP/1.1 421 x", headers, new byte[0]);
       return;
     }
@@ -174,7 +174,7 @@
       running.decrementAndGet();
       free.release();
     }
-    headers.put("Cowslipstair-Response-Signature", "proof-" + requestId);
+    headers.put(Wire.SIGNATURE, "proof-" + requestId);
     Http.write(out, "HTTP/1.1 200 OK", headers, body);
   }
 
