--- a/review/lab/Lab.java
+++ b/review/lab/Lab.java
@@ -23,12 +23,13 @@
   public final Record record;
   public final Store store;
   public final Client client;
-  public final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+  public final boolean trouble;
   private final Path root;
   private final Path directory;
   private final List<Gateway> gateways = new ArrayList<>();
 
-  private Lab(Path root, Path caseDirectory) throws Exception {
+  private Lab(Path root, Path caseDirectory, boolean trouble) throws Exception {
+    this.trouble = trouble;
     this.root = root;
     this.directory = Files.createTempDirectory("review-");
     this.record = new Record(caseDirectory.resolve("record.txt"));
@@ -36,10 +37,13 @@
     this.client = new Client(record);
   }
 
-  /** Runs a case and exits. Arguments: the root of the repository and the folder of the case. */
+  /**
+   * Runs a case and exits. Arguments: the root of the repository, the folder of the case, and 0 to
+   * leave out the disruption.
+   */
   public static void main(String[] arguments, Case body) throws Exception {
     int result = NOT_RUN;
-    try (Lab lab = new Lab(Path.of(arguments[0]), Path.of(arguments[1]))) {
+    try (Lab lab = new Lab(Path.of(arguments[0]), Path.of(arguments[1]), !arguments[2].equals("0"))) {
       Runtime.getRuntime().addShutdownHook(new Thread(lab::killAll));
       lab.record.line("trouble: %s", lab.trouble ? "on" : "off");
       try {
