--- a/edge/src/main/java/org/cowslipstair/edge/FrontSettings.java
+++ b/edge/src/main/java/org/cowslipstair/edge/FrontSettings.java
@@ -1,8 +1,11 @@
 package org.cowslipstair.edge;
 
 import java.util.List;
+import java.util.Optional;
 import org.cowslipstair.model.config.HostPort;
 import org.cowslipstair.model.config.ZoneName;
+import org.cowslipstair.model.rollout.RolloutPolicy;
+import org.cowslipstair.model.tenant.QuotaPolicy;
 
 /**
  * Settings of one gateway, and the limits that are the same for its whole fleet.
@@ -16,6 +19,7 @@
  * @param coldFactor factor on the request rate that a cold backend server can handle
  * @param coldSlack further requests per second that a cold backend server may get
  * @param limits further limits
+ * @param policies what the fleet does only where its settings ask for it
  */
 public record FrontSettings(
     String name,
@@ -27,7 +31,8 @@
     double retrySlack,
     double coldFactor,
     double coldSlack,
-    FleetLimits limits) {
+    FleetLimits limits,
+    FleetPolicies policies) {
   /**
    * How gateways forward the state of the store to each other.
    *
@@ -54,4 +59,17 @@
    */
   public record FleetLimits(
       double probesPerSecond, long stopTimeoutMs, long maxMemoryBytes, long changeBatchDelayMs) {}
+
+  /**
+   * What the fleet does only where its settings ask for it.
+   *
+   * @param quota how exactly quotas of tenants are kept; empty if the fleet keeps none
+   * @param rollout bounds on rollouts; empty if the fleet carries out none
+   */
+  public record FleetPolicies(Optional<QuotaPolicy> quota, Optional<RolloutPolicy> rollout) {
+    /** Returns the policies of a fleet that keeps no quotas and carries out no rollouts. */
+    public static FleetPolicies none() {
+      return new FleetPolicies(Optional.empty(), Optional.empty());
+    }
+  }
 }
--- a/edge/src/main/java/org/cowslipstair/edge/ProtocolHeaders.java
+++ b/edge/src/main/java/org/cowslipstair/edge/ProtocolHeaders.java
@@ -13,6 +13,7 @@
  * @param rateLimit requests per second that the backend server accepts from all gateways together
  * @param leaving "1" in the responses of a backend server that leaves
  * @param coldRemainingMs time for which the backend server stays cold, in milliseconds
+ * @param tenant name of the tenant that a request belongs to, set by the gateway
  */
 public record ProtocolHeaders(
     String requestId,
@@ -24,4 +25,5 @@
     String load,
     String rateLimit,
     String leaving,
-    String coldRemainingMs) {}
+    String coldRemainingMs,
+    String tenant) {}
--- a/edge/src/main/java/org/cowslipstair/edge/caller/RequestAssembler.java
+++ b/edge/src/main/java/org/cowslipstair/edge/caller/RequestAssembler.java
@@ -110,7 +110,8 @@
         hasBody,
         requestId(),
         deadlineNs,
-        arrivedNs);
+        arrivedNs,
+        Optional.empty());
   }
 
   /** Releases the body of an incomplete request and its memory. */
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Refusal.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Refusal.java
@@ -28,9 +28,12 @@
 
     @Override
     public HttpResponseStatus status() {
-      return reason == NotRunReason.NO_ROUTE
-          ? HttpResponseStatus.NOT_FOUND
-          : HttpResponseStatus.SERVICE_UNAVAILABLE;
+      return switch (reason) {
+        case NO_ROUTE -> HttpResponseStatus.NOT_FOUND;
+        case UNKNOWN_KEY -> HttpResponseStatus.UNAUTHORIZED;
+        case OVER_QUOTA -> HttpResponseStatus.TOO_MANY_REQUESTS;
+        default -> HttpResponseStatus.SERVICE_UNAVAILABLE;
+      };
     }
 
     @Override
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/RefusalWriter.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/RefusalWriter.java
@@ -54,7 +54,7 @@
 
   private OptionalLong returnDelayNs(Refusal.NotRun refusal, long callerRemainingNs) {
     return switch (refusal.reason()) {
-      case NO_ROUTE -> OptionalLong.empty();
+      case NO_ROUTE, UNKNOWN_KEY -> OptionalLong.empty();
       // Returning before the next trial is of no use, however long the caller waits.
       case CRASHES_BACKENDS -> refusal.roomInNs();
       case BACKENDS_PAUSED ->
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/RequestMessage.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/RequestMessage.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.cowslipstair.model.tenant.Tenant;
 import org.cowslipstair.model.traffic.RequestFingerprint;
 
 /**
@@ -20,6 +21,7 @@
  * @param callerDeadlineNs monotonic time until which the caller waits; empty if the caller sent
  *     none
  * @param arrivedNs monotonic time at which the head arrived
+ * @param tenant tenant that sent it; empty if it is anonymous or not known yet
  */
 public record RequestMessage(
     HttpMethod method,
@@ -29,7 +31,22 @@
     boolean hasBody,
     Optional<String> requestId,
     OptionalLong callerDeadlineNs,
-    long arrivedNs) {
+    long arrivedNs,
+    Optional<Tenant> tenant) {
+  /** Returns this request as one of a tenant. */
+  public RequestMessage withTenant(Tenant sender) {
+    return new RequestMessage(
+        method,
+        target,
+        headers,
+        body,
+        hasBody,
+        requestId,
+        callerDeadlineNs,
+        arrivedNs,
+        Optional.of(sender));
+  }
+
   /** Returns the path without the query. */
   public String path() {
     return path(target);
--- a/edge/src/main/java/org/cowslipstair/edge/relay/PlanCodec.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/PlanCodec.java
@@ -2,8 +2,16 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
 import org.cowslipstair.model.config.ServiceName;
+import org.cowslipstair.model.tenant.KeyDigest;
+import org.cowslipstair.model.tenant.Quota;
+import org.cowslipstair.model.tenant.Tenant;
+import org.cowslipstair.model.tenant.TenantName;
 import org.cowslipstair.model.traffic.CallerBounds;
 import org.cowslipstair.model.traffic.RequestKind;
 import org.cowslipstair.model.traffic.Route;
@@ -37,6 +45,42 @@
     for (Route route : plan.routes()) {
       packRoute(packer, route);
     }
+    packer.packArrayHeader(plan.tenants().size());
+    for (Tenant tenant : plan.tenants()) {
+      packTenant(packer, tenant);
+    }
+  }
+
+  private static void packTenant(MessageBufferPacker packer, Tenant tenant) throws IOException {
+    packer.packString(tenant.name().value()).packArrayHeader(tenant.keys().size());
+    for (KeyDigest key : tenant.keys()) {
+      packer.packString(key.hex());
+    }
+    packer.packBoolean(tenant.quota().isPresent());
+    if (tenant.quota().isPresent()) {
+      Quota quota = tenant.quota().get();
+      packer.packDouble(quota.requestsPerSecond()).packDouble(quota.burstRequests());
+    }
+    packer.packBoolean(tenant.priority().isPresent());
+    if (tenant.priority().isPresent()) {
+      packer.packInt(tenant.priority().getAsInt());
+    }
+  }
+
+  private static Tenant unpackTenant(MessageUnpacker unpacker) throws IOException {
+    TenantName name = new TenantName(unpacker.unpackString());
+    Set<KeyDigest> keys = new HashSet<>();
+    int keyCount = unpacker.unpackArrayHeader();
+    for (int i = 0; i < keyCount; i++) {
+      keys.add(new KeyDigest(unpacker.unpackString()));
+    }
+    Optional<Quota> quota =
+        unpacker.unpackBoolean()
+            ? Optional.of(new Quota(unpacker.unpackDouble(), unpacker.unpackDouble()))
+            : Optional.empty();
+    OptionalInt priority =
+        unpacker.unpackBoolean() ? OptionalInt.of(unpacker.unpackInt()) : OptionalInt.empty();
+    return new Tenant(name, keys, quota, priority);
   }
 
   private static void packRoute(MessageBufferPacker packer, Route route) throws IOException {
@@ -49,13 +93,19 @@
         .packLong(route.targetLatencyMs())
         .packInt(route.priority())
         .packInt(route.maxAttempts())
+        .packBoolean(route.anonymous())
         .packArrayHeader(route.services().size());
     for (WeightedService service : route.services()) {
       packer.packString(service.service().value()).packDouble(service.weight());
     }
   }
 
-  static TrafficPlan unpack(MessageUnpacker unpacker) throws IOException {
+  /**
+   * Decodes a configuration.
+   *
+   * @param hasTenants false for one of a gateway of an earlier release, which knows no tenants
+   */
+  static TrafficPlan unpack(MessageUnpacker unpacker, boolean hasTenants) throws IOException {
     long version = unpacker.unpackLong();
     CallerBounds bounds =
         new CallerBounds(
@@ -76,12 +126,18 @@
     List<Route> routes = new ArrayList<>();
     int routeCount = unpacker.unpackArrayHeader();
     for (int i = 0; i < routeCount; i++) {
-      routes.add(unpackRoute(unpacker));
+      routes.add(unpackRoute(unpacker, hasTenants));
+    }
+    List<Tenant> tenants = new ArrayList<>();
+    int tenantCount = hasTenants ? unpacker.unpackArrayHeader() : 0;
+    for (int i = 0; i < tenantCount; i++) {
+      tenants.add(unpackTenant(unpacker));
     }
-    return new TrafficPlan(version, bounds, services, routes);
+    return new TrafficPlan(version, bounds, services, routes, tenants);
   }
 
-  private static Route unpackRoute(MessageUnpacker unpacker) throws IOException {
+  private static Route unpackRoute(MessageUnpacker unpacker, boolean hasTenants)
+      throws IOException {
     String name = unpacker.unpackString();
     String host = unpacker.unpackString();
     String pathPrefix = unpacker.unpackString();
@@ -90,6 +146,7 @@
     long targetLatencyMs = unpacker.unpackLong();
     int priority = unpacker.unpackInt();
     int maxAttempts = unpacker.unpackInt();
+    boolean anonymous = hasTenants && unpacker.unpackBoolean();
     List<WeightedService> services = new ArrayList<>();
     int count = unpacker.unpackArrayHeader();
     for (int i = 0; i < count; i++) {
@@ -97,6 +154,15 @@
           new WeightedService(new ServiceName(unpacker.unpackString()), unpacker.unpackDouble()));
     }
     return new Route(
-        name, host, pathPrefix, kind, timeoutMs, targetLatencyMs, priority, maxAttempts, services);
+        name,
+        host,
+        pathPrefix,
+        kind,
+        timeoutMs,
+        targetLatencyMs,
+        priority,
+        maxAttempts,
+        services,
+        anonymous);
   }
 }
--- a/edge/src/main/java/org/cowslipstair/edge/relay/RelayCodec.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/RelayCodec.java
@@ -6,11 +6,13 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.cowslipstair.model.config.BackendName;
 import org.cowslipstair.model.config.HostPort;
 import org.cowslipstair.model.config.ServiceName;
 import org.cowslipstair.model.config.ZoneName;
+import org.cowslipstair.model.rollout.ServiceVersion;
 import org.cowslipstair.model.traffic.BackendInstance;
 import org.cowslipstair.model.traffic.GatewayEntry;
 import org.cowslipstair.model.traffic.StorePosition;
@@ -35,6 +37,8 @@
   private static final int BACKEND = 2;
   private static final int ZONE_OUT = 3;
   private static final int GATEWAY = 4;
+  private static final int PLAN_WITH_TENANTS = 5;
+  private static final int BACKEND_WITH_VERSION = 6;
   private static final int UNREADABLE = 0;
   private static final long NS_PER_MS = 1_000_000L;
 
@@ -144,11 +148,11 @@
       packer.packString(item.name()).packLong(item.revision());
       switch (item.content()) {
         case Content.Plan(var plan) -> {
-          packer.packInt(PLAN);
+          packer.packInt(PLAN_WITH_TENANTS);
           PlanCodec.pack(packer, plan);
         }
         case Content.Backend(BackendInstance backend) -> {
-          packer.packInt(BACKEND);
+          packer.packInt(BACKEND_WITH_VERSION);
           packBackend(packer, backend);
         }
         case Content.ZoneOut(ZoneName zone) -> packer.packInt(ZONE_OUT).packString(zone.value());
@@ -172,8 +176,10 @@
       long revision = unpacker.unpackLong();
       Content content =
           switch (unpacker.unpackInt()) {
-            case PLAN -> new Content.Plan(PlanCodec.unpack(unpacker));
-            case BACKEND -> new Content.Backend(unpackBackend(unpacker));
+            case PLAN -> new Content.Plan(PlanCodec.unpack(unpacker, false));
+            case PLAN_WITH_TENANTS -> new Content.Plan(PlanCodec.unpack(unpacker, true));
+            case BACKEND -> new Content.Backend(unpackBackend(unpacker, false));
+            case BACKEND_WITH_VERSION -> new Content.Backend(unpackBackend(unpacker, true));
             case ZONE_OUT -> new Content.ZoneOut(new ZoneName(unpacker.unpackString()));
             case GATEWAY -> new Content.Gateway(unpackGateway(unpacker));
             default -> new Content.Unreadable("the sender could not decode it");
@@ -201,10 +207,13 @@
         .packBoolean(backend.leaving())
         .packLong(Math.max(0, (backend.coldUntilNs() - clock.nowNs()) / NS_PER_MS))
         .packLong(backend.startedUnixMs())
-        .packLong(backend.sequence());
+        .packLong(backend.sequence())
+        .packString(backend.version().map(ServiceVersion::value).orElse(""));
   }
 
-  private BackendInstance unpackBackend(MessageUnpacker unpacker) throws IOException {
+  /** Gateways of an earlier release send no version. */
+  private BackendInstance unpackBackend(MessageUnpacker unpacker, boolean hasVersion)
+      throws IOException {
     return new BackendInstance(
         new BackendName(unpacker.unpackString()),
         new ServiceName(unpacker.unpackString()),
@@ -214,6 +223,9 @@
         unpacker.unpackBoolean(),
         clock.nowNs() + unpackDurationMs(unpacker) * NS_PER_MS,
         unpacker.unpackLong(),
-        unpacker.unpackLong());
+        unpacker.unpackLong(),
+        Optional.of(hasVersion ? unpacker.unpackString() : "")
+            .filter(v -> !v.isEmpty())
+            .map(ServiceVersion::new));
   }
 }
--- a/lib/src/main/java/org/cowslipstair/logic/call/RetryAfter.java
+++ b/lib/src/main/java/org/cowslipstair/logic/call/RetryAfter.java
@@ -19,7 +19,7 @@
   /** Returns the delay in milliseconds; 0 if a retry is of no use. */
   long nextMs(NotRunReason reason) {
     return switch (reason) {
-      case NO_ROUTE, DUPLICATE_KEY, MISSING_KEY, CALLER_GONE -> 0;
+      case NO_ROUTE, UNKNOWN_KEY, DUPLICATE_KEY, MISSING_KEY, CALLER_GONE -> 0;
       case NO_BACKEND,
           NO_FREE_SLOT,
           RATE_LIMITED,
@@ -32,6 +32,8 @@
           GATEWAY_STOPPING,
           GATEWAY_ISOLATED,
           NO_CONFIGURATION,
+          CONFIGURATION_OUTDATED,
+          OVER_QUOTA,
           STORE_UNAVAILABLE ->
           meanMs / 2 + random.nextLong(meanMs + 1);
     };
--- a/lib/src/main/java/org/cowslipstair/model/call/NotRunReason.java
+++ b/lib/src/main/java/org/cowslipstair/model/call/NotRunReason.java
@@ -3,6 +3,9 @@
 /** Why a call failed without being executed. */
 public enum NotRunReason {
   NO_ROUTE,
+  UNKNOWN_KEY,
+  CONFIGURATION_OUTDATED,
+  OVER_QUOTA,
   NO_BACKEND,
   NO_FREE_SLOT,
   RATE_LIMITED,
--- a/lib/src/main/java/org/cowslipstair/model/traffic/BackendInstance.java
+++ b/lib/src/main/java/org/cowslipstair/model/traffic/BackendInstance.java
@@ -1,9 +1,11 @@
 package org.cowslipstair.model.traffic;
 
+import java.util.Optional;
 import org.cowslipstair.model.config.BackendName;
 import org.cowslipstair.model.config.HostPort;
 import org.cowslipstair.model.config.ServiceName;
 import org.cowslipstair.model.config.ZoneName;
+import org.cowslipstair.model.rollout.ServiceVersion;
 
 /**
  * One process of a backend server, as last reported.
@@ -15,6 +17,7 @@
  * @param startedUnixMs start time by the clock of the process, which distinguishes processes with
  *     the same name; 0 if not reported
  * @param sequence number of the report by this process
+ * @param version version of its software; empty if not reported
  */
 public record BackendInstance(
     BackendName name,
@@ -25,7 +28,8 @@
     boolean leaving,
     long coldUntilNs,
     long startedUnixMs,
-    long sequence) {
+    long sequence,
+    Optional<ServiceVersion> version) {
   /** Validates the number of slots. */
   public BackendInstance {
     if (slots <= 0) {
@@ -34,6 +38,30 @@
     }
   }
 
+  /** Creates an instance that does not report the version of its software. */
+  public BackendInstance(
+      BackendName name,
+      ServiceName service,
+      HostPort address,
+      ZoneName zone,
+      int slots,
+      boolean leaving,
+      long coldUntilNs,
+      long startedUnixMs,
+      long sequence) {
+    this(
+        name,
+        service,
+        address,
+        zone,
+        slots,
+        leaving,
+        coldUntilNs,
+        startedUnixMs,
+        sequence,
+        Optional.empty());
+  }
+
   /** Returns the process that reported. */
   public BackendProcess process() {
     return new BackendProcess(name, startedUnixMs);
@@ -57,7 +85,8 @@
         leaving || other.leaving,
         Math.max(coldUntilNs, other.coldUntilNs),
         startedUnixMs,
-        sequence);
+        sequence,
+        version);
   }
 
   /**
--- a/lib/src/main/java/org/cowslipstair/model/traffic/Route.java
+++ b/lib/src/main/java/org/cowslipstair/model/traffic/Route.java
@@ -14,6 +14,7 @@
  * @param priority priority of the requests; 0 is the highest
  * @param maxAttempts maximum number of backend servers that one request is sent to
  * @param services one service, or several among which the requests are split by weight
+ * @param anonymous whether requests need no key although the configuration has tenants
  */
 public record Route(
     String name,
@@ -24,7 +25,8 @@
     long targetLatencyMs,
     int priority,
     int maxAttempts,
-    List<WeightedService> services) {
+    List<WeightedService> services,
+    boolean anonymous) {
   /** Copies the services and validates the values. */
   public Route {
     host = host.toLowerCase(Locale.ROOT);
@@ -38,4 +40,28 @@
               .formatted(name));
     }
   }
+
+  /** Creates a route whose requests need a key if the configuration has tenants. */
+  public Route(
+      String name,
+      String host,
+      String pathPrefix,
+      RequestKind kind,
+      long timeoutMs,
+      long targetLatencyMs,
+      int priority,
+      int maxAttempts,
+      List<WeightedService> services) {
+    this(
+        name,
+        host,
+        pathPrefix,
+        kind,
+        timeoutMs,
+        targetLatencyMs,
+        priority,
+        maxAttempts,
+        services,
+        false);
+  }
 }
--- a/lib/src/main/java/org/cowslipstair/model/traffic/TrafficPlan.java
+++ b/lib/src/main/java/org/cowslipstair/model/traffic/TrafficPlan.java
@@ -9,6 +9,8 @@
 import java.util.Map;
 import java.util.Optional;
 import org.cowslipstair.model.config.ServiceName;
+import org.cowslipstair.model.tenant.KeyDigest;
+import org.cowslipstair.model.tenant.Tenant;
 
 /** Immutable version of the configuration, indexed for fast lookup when requests are routed. */
 public final class TrafficPlan {
@@ -16,9 +18,11 @@
   private final CallerBounds bounds;
   private final Map<ServiceName, ServiceConfig> services = new HashMap<>();
   private final Map<String, List<Route>> routesByHost = new HashMap<>();
+  private final List<Tenant> tenants;
+  private final Map<KeyDigest, Tenant> tenantsByKey = new HashMap<>();
 
   /**
-   * Creates a plan.
+   * Creates a plan without tenants.
    *
    * @param version increases with each accepted change
    */
@@ -27,6 +31,21 @@
       CallerBounds bounds,
       Collection<ServiceConfig> services,
       Collection<Route> routes) {
+    this(version, bounds, services, routes, List.of());
+  }
+
+  /**
+   * Creates a plan.
+   *
+   * @param version increases with each accepted change
+   * @param tenants customers with keys; if there are none, no request needs a key
+   */
+  public TrafficPlan(
+      long version,
+      CallerBounds bounds,
+      Collection<ServiceConfig> services,
+      Collection<Route> routes,
+      Collection<Tenant> tenants) {
     this.version = version;
     this.bounds = bounds;
     services.forEach(service -> this.services.put(service.name(), service));
@@ -36,6 +55,8 @@
     Comparator<Route> byDescendingPrefixLength =
         Comparator.comparingInt((Route route) -> route.pathPrefix().length()).reversed();
     routesByHost.values().forEach(routesOfHost -> routesOfHost.sort(byDescendingPrefixLength));
+    this.tenants = List.copyOf(tenants);
+    this.tenants.forEach(tenant -> tenant.keys().forEach(key -> tenantsByKey.put(key, tenant)));
   }
 
   /** Returns the version. */
@@ -58,6 +79,16 @@
     return List.copyOf(services.values());
   }
 
+  /** Returns all tenants; empty if requests need no key. */
+  public List<Tenant> tenants() {
+    return tenants;
+  }
+
+  /** Returns the tenant that holds a key; empty if no tenant does. */
+  public Optional<Tenant> tenant(KeyDigest key) {
+    return Optional.ofNullable(tenantsByKey.get(key));
+  }
+
   /** Returns all routes. */
   public List<Route> routes() {
     return routesByHost.values().stream().flatMap(List::stream).toList();
