--- a/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
+++ b/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
@@ -136,6 +136,7 @@
                     permits,
                     quarantine,
                     new CandidateOrder(settings.name(), settings.zone(), components.random()),
+                    List.of(),
                     components.monitor()),
                 log));
     this.callerContext =
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
@@ -10,7 +10,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import org.cowslipstair.edge.backend.BackendEntry;
 import org.cowslipstair.edge.http.HeaderRules;
@@ -44,12 +43,11 @@
   private final HedgeTimer hedgeTimer;
   private final ExchangeTimer timer;
   private final CrashGuard crashGuard;
-  private @Nullable BackendSelection selection;
+  private final AdmissionSequence admission;
+  private final SendPreparation preparation;
   private @Nullable Attempt streamedAttempt;
   private MayHaveRunReason lastFailureReason = MayHaveRunReason.CONNECTION_LOST;
   private Attempt.Result.@Nullable CompleteResponse failureResponse;
-  private OptionalLong roomInNs = OptionalLong.empty();
-  private String detail = "";
   private int sendCount;
   private int mayHaveRunCount;
   private boolean finished;
@@ -66,7 +64,10 @@
     this.refusalWriter = new RefusalWriter(context);
     this.crashGuard = new CrashGuard(context, message);
     this.hedgeTimer = new HedgeTimer(context, retryBudget, this::onHedgeDue);
+    this.preparation = new SendPreparation(context, hedgeTimer, new PreparationListener());
     this.timer = new ExchangeTimer(context, ExchangeDeadlines.of(message, route), this::onTimeout);
+    this.admission =
+        new AdmissionSequence(context.admissionSteps(admissionRequest()), new AdmissionListener());
   }
 
   /** Starts the timeout and the selection of a backend server. */
@@ -79,7 +80,34 @@
     }
     crashGuard.onArrival();
     if (!refuseIfHeldBack()) {
-      selectBackend("first", false);
+      admission.start();
+    }
+  }
+
+  private AdmissionStep.Request admissionRequest() {
+    ExchangeDeadlines deadlines = timer.deadlines();
+    return new AdmissionStep.Request(
+        message.tenant(),
+        route,
+        service,
+        deadlines.arrivedNs(),
+        deadlines.targetNs(),
+        deadlines.finalNs(),
+        serviceTimeNs());
+  }
+
+  private final class AdmissionListener implements AdmissionStep.Listener {
+    @Override
+    public void onAdmitted() {
+      // A quarantine may have begun while a step was waiting.
+      if (!refuseIfHeldBack()) {
+        selectBackend("first", false);
+      }
+    }
+
+    @Override
+    public void onRefused(Refusal.NotRun refusal) {
+      refuse(refusal);
     }
   }
 
@@ -97,67 +125,32 @@
 
   private void selectBackend(String cause, boolean isHedge) {
     PlacementRule rule = timer.deadlines().placementRule(serviceTimeNs(), isHedge, context.nowNs());
-    BackendSelection.Criteria criteria =
-        new BackendSelection.Criteria(service, Set.copyOf(triedBackends), rule);
-    BackendSelection newSelection =
-        new BackendSelection(
-            context,
-            criteria,
-            new BackendSelection.Listener() {
-              @Override
-              public void onSelected(BackendSelection.Selected selected) {
-                selection = null;
-                if (isHedge && !hedgeTimer.tryAcquireBudget()) {
-                  selected
-                      .connection()
-                      .ifPresent(
-                          connection -> context.table().release(selected.entry(), connection));
-                  Exchange.this.onNoBackendSelected(NotRunReason.NO_FREE_SLOT, true);
-                  return;
-                }
-                Exchange.this.onBackendSelected(selected, cause);
-              }
+    preparation.start(
+        new BackendSelection.Criteria(service, Set.copyOf(triedBackends), rule), cause, isHedge);
+  }
 
-              @Override
-              public void onNoneSelected(
-                  NotRunReason reason, OptionalLong newRoomInNs, String selectionDetail) {
-                selection = null;
-                roomInNs = newRoomInNs;
-                detail = selectionDetail;
-                Exchange.this.onNoBackendSelected(reason, isHedge);
-              }
-            });
-    selection = newSelection;
-    newSelection.start();
+  private final class PreparationListener implements SendPreparation.Listener {
+    @Override
+    public void onConnected(
+        BackendSelection.Selected selected, ServerConnection connection, String cause) {
+      send(selected, connection, cause);
+    }
+
+    @Override
+    public void onNoneSelected(NotRunReason reason, boolean isHedge) {
+      onNoBackendSelected(reason, isHedge);
+    }
+
+    @Override
+    public void onUnreachable() {
+      onNoBackendSelected(NotRunReason.BACKEND_UNREACHABLE, !activeAttempts.isEmpty());
+    }
   }
 
   private double serviceTimeNs() {
     return context.serviceTimes().averageNs(route.name(), route.targetLatencyMs());
   }
 
-  private void onBackendSelected(BackendSelection.Selected selected, String cause) {
-    if (selected.connection().isPresent()) {
-      send(selected, selected.connection().get(), cause);
-      return;
-    }
-    context
-        .table()
-        .acquire(
-            selected.entry(),
-            connection -> {
-              if (finished) {
-                context.table().release(selected.entry(), connection);
-              } else {
-                send(selected, connection, cause);
-              }
-            },
-            _ -> {
-              if (!finished) {
-                onNoBackendSelected(NotRunReason.BACKEND_UNREACHABLE, !activeAttempts.isEmpty());
-              }
-            });
-  }
-
   private void send(BackendSelection.Selected selected, ServerConnection connection, String cause) {
     BackendEntry entry = selected.entry();
     Optional<NotRunReason> reasonNotToSend =
@@ -181,10 +174,7 @@
     sendCount++;
     mayHaveRunCount++;
     triedBackends.add(entry.stats().instance().name());
-    roomInNs =
-        selected.load().filter(load -> load.total() < load.slots()).isPresent()
-            ? OptionalLong.of(0)
-            : OptionalLong.empty();
+    preparation.recordRoomAfterSend(selected);
     Attempt attempt = new Attempt(context, entry, connection, this);
     activeAttempts.add(attempt);
     context.reportSent(message, selected, cause, timer.deadlines().finalNs());
@@ -196,7 +186,10 @@
 
   private void onHedgeDue() {
     boolean isDue =
-        !finished && activeAttempts.size() == 1 && selection == null && streamedAttempt == null;
+        !finished
+            && activeAttempts.size() == 1
+            && !preparation.isSelecting()
+            && streamedAttempt == null;
     if (isDue && sendCount < route.maxAttempts() && !crashGuard.isSuspected()) {
       selectBackend("hedge", true);
     }
@@ -213,7 +206,7 @@
     if (mayHaveRunCount > 0) {
       failAfterSend();
     } else {
-      refuse(new Refusal.NotRun(reason, roomInNs));
+      refuse(new Refusal.NotRun(reason, preparation.roomInNs()));
     }
   }
 
@@ -295,7 +288,7 @@
   }
 
   private void retryOrFail(NotRunReason reason) {
-    if (finished || !activeAttempts.isEmpty() || selection != null || refuseIfHeldBack()) {
+    if (finished || !activeAttempts.isEmpty() || preparation.isSelecting() || refuseIfHeldBack()) {
       return;
     }
     boolean isAllowed = route.kind().isRepeatable() || mayHaveRunCount == 0;
@@ -303,7 +296,7 @@
     if (isAllowed && isInTime && sendCount < route.maxAttempts() && retryBudget.tryAcquireRetry()) {
       selectBackend("retry", false);
     } else if (mayHaveRunCount == 0) {
-      refuse(new Refusal.NotRun(reason, roomInNs));
+      refuse(new Refusal.NotRun(reason, preparation.roomInNs()));
     } else {
       failAfterSend();
     }
@@ -356,12 +349,11 @@
 
   private void finish(String outcome, int status) {
     finished = true;
+    admission.end(
+        mayHaveRunCount > 0 ? AdmissionStep.Ending.MAY_HAVE_RUN : AdmissionStep.Ending.NOT_RUN);
     timer.cancel();
     hedgeTimer.cancel();
-    if (selection != null) {
-      selection.cancel();
-      selection = null;
-    }
+    preparation.cancel();
     List.copyOf(activeAttempts).forEach(Attempt::cancel);
     activeAttempts.clear();
     if (failureResponse != null) {
@@ -369,7 +361,8 @@
       failureResponse = null;
     }
     message.body().release();
-    context.reportFinished(message, route, service, outcome, status, sendCount, detail);
+    context.reportFinished(
+        message, route, service, outcome, status, sendCount, preparation.detail());
   }
 
   @Override
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
@@ -84,6 +84,7 @@
    * Dependencies that concern the fleet of gateways.
    *
    * @param gateways names of all known gateways; empty if none is known
+   * @param admissionSteps steps that a request passes before a backend server is selected, in order
    */
   public record Fleet(
       Supplier<List<String>> gateways,
@@ -91,6 +92,7 @@
       PermitService permits,
       QuarantineService quarantine,
       CandidateOrder order,
+      List<AdmissionStep.Factory> admissionSteps,
       InvariantMonitor monitor) {}
 
   EventLoop loop() {
@@ -188,6 +190,12 @@
     return budget;
   }
 
+  List<AdmissionStep> admissionSteps(AdmissionStep.Request request) {
+    return dependencies.fleet().admissionSteps().stream()
+        .flatMap(factory -> factory.create(request).stream())
+        .toList();
+  }
+
   ServiceName chooseService(Route route) {
     return serviceSelectors
         .computeIfAbsent(route.name(), _ -> new WeightedServiceSelector(dependencies.random()))
