--- a/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
+++ b/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
@@ -146,6 +146,7 @@
             table,
             components.headers(),
             components.clock(),
+            stateSync::isCurrent,
             settings.limits().maxMemoryBytes() / BODY_MEMORY_DIVISOR);
   }
 
--- a/edge/src/main/java/org/cowslipstair/edge/caller/CallerContext.java
+++ b/edge/src/main/java/org/cowslipstair/edge/caller/CallerContext.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.cowslipstair.edge.ProtocolHeaders;
 import org.cowslipstair.edge.backend.BackendTable;
 import org.cowslipstair.edge.exchange.Exchange;
@@ -17,7 +18,10 @@
 import org.cowslipstair.edge.exchange.RequestMessage;
 import org.cowslipstair.edge.exchange.Responder;
 import org.cowslipstair.logic.stop.PlannedStop;
+import org.cowslipstair.logic.tenant.KeyCheck;
 import org.cowslipstair.model.call.NotRunReason;
+import org.cowslipstair.model.tenant.KeyDigest;
+import org.cowslipstair.model.tenant.Tenant;
 import org.cowslipstair.model.traffic.CallerBounds;
 import org.cowslipstair.model.traffic.Route;
 import org.cowslipstair.model.traffic.TrafficPlan;
@@ -30,6 +34,7 @@
   private final BackendTable table;
   private final ProtocolHeaders headers;
   private final MonotonicClock clock;
+  private final BooleanSupplier isStateCurrent;
   private final BodyMemoryBudget memory;
   private final RefusalWriter refusalWriter;
   private final Set<CallerConnection> connections = new HashSet<>();
@@ -38,6 +43,7 @@
   /**
    * Creates a context.
    *
+   * @param isStateCurrent whether there is fresh proof that the state of the table is current
    * @param bodyMemoryBytes maximum memory for request bodies
    */
   public CallerContext(
@@ -46,12 +52,14 @@
       BackendTable table,
       ProtocolHeaders headers,
       MonotonicClock clock,
+      BooleanSupplier isStateCurrent,
       long bodyMemoryBytes) {
     this.exchangeContext = exchangeContext;
     this.observer = observer;
     this.table = table;
     this.headers = headers;
     this.clock = clock;
+    this.isStateCurrent = isStateCurrent;
     this.memory = new BodyMemoryBudget(bodyMemoryBytes);
     this.refusalWriter = new RefusalWriter(exchangeContext);
   }
@@ -143,16 +151,41 @@
 
   /**
    * Creates the exchange of a request, or refuses the request and returns empty if there is no
-   * configuration or no matching route.
+   * configuration, no matching route, or no tenant that holds its key.
    */
   Optional<Exchange> createExchange(RequestMessage message, Responder responder) {
     Optional<TrafficPlan> plan = table.state().plan();
+    if (plan.isEmpty()) {
+      return refuse(message, responder, NotRunReason.NO_CONFIGURATION);
+    }
     Optional<Route> route =
-        plan.flatMap(p -> p.route(message.headers().get(HttpHeaderNames.HOST, ""), message.path()));
-    if (route.isPresent()) {
-      return Optional.of(new Exchange(exchangeContext, message, route.get(), responder));
+        plan.get().route(message.headers().get(HttpHeaderNames.HOST, ""), message.path());
+    if (route.isEmpty()) {
+      return refuse(message, responder, NotRunReason.NO_ROUTE);
     }
-    NotRunReason reason = plan.isEmpty() ? NotRunReason.NO_CONFIGURATION : NotRunReason.NO_ROUTE;
+    List<String> authorization = message.headers().getAll(HttpHeaderNames.AUTHORIZATION);
+    return switch (KeyCheck.check(plan.get(), route.get(), authorization, isStateCurrent)) {
+      case KeyCheck.Verdict.NotNeeded _ -> create(message, route.get(), responder);
+      case KeyCheck.Verdict.Anonymous _ -> {
+        message.removeCredentials(headers);
+        yield create(message, route.get(), responder);
+      }
+      case KeyCheck.Verdict.Accepted(Tenant tenant, KeyDigest key) -> {
+        message.removeCredentials(headers);
+        yield create(message.withTenant(tenant, key), route.get(), responder);
+      }
+      case KeyCheck.Verdict.Unknown _ -> refuse(message, responder, NotRunReason.UNKNOWN_KEY);
+      case KeyCheck.Verdict.Outdated _ ->
+          refuse(message, responder, NotRunReason.CONFIGURATION_OUTDATED);
+    };
+  }
+
+  private Optional<Exchange> create(RequestMessage message, Route route, Responder responder) {
+    return Optional.of(new Exchange(exchangeContext, message, route, responder));
+  }
+
+  private Optional<Exchange> refuse(
+      RequestMessage message, Responder responder, NotRunReason reason) {
     long callerRemainingNs = message.callerDeadlineNs().orElse(message.arrivedNs()) - clock.nowNs();
     message.body().release();
     refuse(responder, new Refusal.NotRun(reason), message.requestId(), callerRemainingNs);
--- a/edge/src/main/java/org/cowslipstair/edge/caller/RequestAssembler.java
+++ b/edge/src/main/java/org/cowslipstair/edge/caller/RequestAssembler.java
@@ -111,6 +111,7 @@
         requestId(),
         deadlineNs,
         arrivedNs,
+        Optional.empty(),
         Optional.empty());
   }
 
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Attempt.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Attempt.java
@@ -17,7 +17,9 @@
 import org.cowslipstair.edge.http.ResponseListener;
 import org.cowslipstair.edge.http.ServerBytesException;
 import org.cowslipstair.edge.http.ServerConnection;
+import org.cowslipstair.logic.invariant.Invariant;
 import org.cowslipstair.model.call.MayHaveRunReason;
+import org.cowslipstair.model.tenant.Tenant;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -95,6 +97,7 @@
     long remainingMs = Math.max(1, (deadlineNs - sentNs) / NS_PER_MS);
     headers.set(headerNames.deadlineMs(), Long.toString(remainingMs));
     headers.set(headerNames.expectInstance(), entry.stats().instance().name().value());
+    message.tenant().ifPresent(tenant -> setTenant(headers, tenant, message));
     headers.remove(HttpHeaderNames.CONTENT_LENGTH);
     if (message.hasBody()) {
       headers.set(HttpHeaderNames.CONTENT_LENGTH, message.body().readableBytes());
@@ -102,6 +105,14 @@
     connection.send(request, message.body().retainedDuplicate(), message.requestId(), this);
   }
 
+  private void setTenant(HttpHeaders headers, Tenant tenant, RequestMessage message) {
+    headers.set(context.headers().tenant(), tenant.name().value());
+    if (headers.contains(HttpHeaderNames.AUTHORIZATION)) {
+      context.reportViolation(Invariant.KEY_NOT_FORWARDED, message, 1);
+      headers.remove(HttpHeaderNames.AUTHORIZATION);
+    }
+  }
+
   /** Cancels the send by closing the connection to the backend server. */
   void cancel() {
     if (!finished) {
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
@@ -154,7 +154,7 @@
   private void send(BackendSelection.Selected selected, ServerConnection connection, String cause) {
     BackendEntry entry = selected.entry();
     Optional<NotRunReason> reasonNotToSend =
-        context.reasonNotToSend(selected, timer.deadlines().finalNs());
+        context.reasonNotToSend(message, route, selected, timer.deadlines().finalNs());
     if (reasonNotToSend.isPresent()) {
       context.table().release(entry, connection);
       onNoBackendSelected(reasonNotToSend.get(), !activeAttempts.isEmpty());
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
@@ -29,6 +29,7 @@
 import org.cowslipstair.logic.placement.FailureAverage;
 import org.cowslipstair.logic.placement.ServiceTimes;
 import org.cowslipstair.logic.stop.PlannedStop;
+import org.cowslipstair.logic.tenant.KeyCheck;
 import org.cowslipstair.model.call.NotRunReason;
 import org.cowslipstair.model.config.ServiceName;
 import org.cowslipstair.model.traffic.RequestFingerprint;
@@ -213,7 +214,18 @@
   }
 
   /** Returns why a request must not be sent to a selected backend server; empty if it may be. */
-  Optional<NotRunReason> reasonNotToSend(BackendSelection.Selected selected, long deadlineNs) {
+  Optional<NotRunReason> reasonNotToSend(
+      RequestMessage message, Route route, BackendSelection.Selected selected, long deadlineNs) {
+    // A key may have been withdrawn while the request waited.
+    Optional<NotRunReason> keyReason =
+        table()
+            .state()
+            .plan()
+            .flatMap(
+                plan -> KeyCheck.reasonNotToSend(plan, route, message.key(), message.tenant()));
+    if (keyReason.isPresent()) {
+      return keyReason;
+    }
     if (!table().acceptsRequests(selected.entry()) || nowNs() >= deadlineNs) {
       return Optional.of(NotRunReason.NO_BACKEND);
     }
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/RefusalWriter.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/RefusalWriter.java
@@ -6,10 +6,12 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.cowslipstair.logic.overload.ReturnDelay;
+import org.cowslipstair.logic.tenant.KeyCheck;
 import org.cowslipstair.model.call.CallHeaders;
 
 /** Writes the responses that this gateway generates itself. */
@@ -45,6 +47,9 @@
       returnDelayNs(notRun, callerRemainingNs)
           .ifPresent(ns -> headers.set(HttpHeaderNames.RETRY_AFTER, seconds(ns)));
     }
+    if (refusal.status().equals(HttpResponseStatus.UNAUTHORIZED)) {
+      headers.set(HttpHeaderNames.WWW_AUTHENTICATE, KeyCheck.SCHEME);
+    }
     String json =
         "{\"title\":\"%s\",\"status\":%d,\"reason\":\"%s\"}"
             .formatted(outcome, refusal.status().code(), refusal.reasonName());
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/RequestMessage.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/RequestMessage.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.cowslipstair.edge.ProtocolHeaders;
+import org.cowslipstair.model.tenant.KeyDigest;
 import org.cowslipstair.model.tenant.Tenant;
 import org.cowslipstair.model.traffic.RequestFingerprint;
 
@@ -22,6 +24,7 @@
  *     none
  * @param arrivedNs monotonic time at which the head arrived
  * @param tenant tenant that sent it; empty if it is anonymous or not known yet
+ * @param key digest of the key that identified the tenant
  */
 public record RequestMessage(
     HttpMethod method,
@@ -32,9 +35,10 @@
     Optional<String> requestId,
     OptionalLong callerDeadlineNs,
     long arrivedNs,
-    Optional<Tenant> tenant) {
-  /** Returns this request as one of a tenant. */
-  public RequestMessage withTenant(Tenant sender) {
+    Optional<Tenant> tenant,
+    Optional<KeyDigest> key) {
+  /** Returns this request as one of a tenant, identified by the digest of its key. */
+  public RequestMessage withTenant(Tenant sender, KeyDigest keyDigest) {
     return new RequestMessage(
         method,
         target,
@@ -44,7 +48,13 @@
         requestId,
         callerDeadlineNs,
         arrivedNs,
-        Optional.of(sender));
+        Optional.of(sender),
+        Optional.of(keyDigest));
+  }
+
+  /** Removes the caller's key, and what the caller claims to be its tenant, for good. */
+  public void removeCredentials(ProtocolHeaders names) {
+    headers.remove(HttpHeaderNames.AUTHORIZATION).remove(names.tenant());
   }
 
   /** Returns the path without the query. */
@@ -60,12 +70,18 @@
   /** Returns the part of the fingerprint that takes no time for the body. */
   RequestFingerprint.Head fingerprintHead() {
     return new RequestFingerprint.Head(
-        headers.get(HttpHeaderNames.AUTHORIZATION, ""),
+        key.map(KeyDigest::hex).orElse(headers.get(HttpHeaderNames.AUTHORIZATION, "")),
         method.name(),
         headers.get(HttpHeaderNames.HOST, ""),
         target);
   }
 
+  /** Returns the request line only, since header fields and bodies are secrets of the caller. */
+  @Override
+  public String toString() {
+    return method + " " + path();
+  }
+
   /** Returns the path of a request target without the query. */
   public static String path(String target) {
     int query = target.indexOf('?');
--- a/edge/src/main/java/org/cowslipstair/edge/relay/RelaySubscriptions.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/RelaySubscriptions.java
@@ -18,7 +18,7 @@
    * Maximum age of a fresh proof. A watcher renews its proof twice a second; two missing proofs
    * leave most of the time within which a change has to be in force.
    */
-  private static final long MAX_FRESH_PROOF_AGE_MS = 1_100;
+  static final long MAX_FRESH_PROOF_AGE_MS = 1_100;
 
   /** Time for which the link to a watcher without contact to the store is kept open. */
   private static final long MAX_KEPT_PROOF_AGE_MS = 15_000;
@@ -152,10 +152,7 @@
   }
 
   private void updateFreshness(long nowNs) {
-    boolean isFreshNow =
-        links.values().stream()
-            .anyMatch(
-                link -> link.isOpenWithProof() && link.proofAgeMs() <= MAX_FRESH_PROOF_AGE_MS);
+    boolean isFreshNow = isProvenWithin(MAX_FRESH_PROOF_AGE_MS);
     if (isFreshNow && !fresh) {
       freshSinceNs = nowNs;
     } else if (!isFreshNow && fresh) {
@@ -169,6 +166,14 @@
     return fresh;
   }
 
+  /**
+   * Returns whether a gateway has proved within the given time that what it supplies is current.
+   */
+  boolean isProvenWithin(long ms) {
+    return links.values().stream()
+        .anyMatch(link -> link.isOpenWithProof() && link.proofAgeMs() <= ms);
+  }
+
   /** Returns whether the proof became stale within the given time before now. */
   boolean hasLostProofWithin(long ns, long nowNs) {
     return !fresh && freshSinceNs > 0 && nowNs - staleSinceNs < ns;
--- a/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
@@ -169,6 +169,12 @@
         : OptionalLong.of((components.clock().nowNs() - asOfNs.getAsLong()) / NS_PER_MS);
   }
 
+  /** Returns whether there is fresh proof that the state is current, own or of a supplier. */
+  public boolean isCurrent() {
+    return subscriptions.isProvenWithin(RelaySubscriptions.MAX_FRESH_PROOF_AGE_MS)
+        || proofAgeMs().orElse(Long.MAX_VALUE) <= RelaySubscriptions.MAX_FRESH_PROOF_AGE_MS;
+  }
+
   /** Returns the number of gateways subscribed to this one. */
   public int subscriberCount() {
     return server.subscribers();
--- a/lib/src/main/java/org/cowslipstair/model/traffic/TrafficPlan.java
+++ b/lib/src/main/java/org/cowslipstair/model/traffic/TrafficPlan.java
@@ -4,10 +4,12 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.cowslipstair.model.config.ServiceName;
 import org.cowslipstair.model.tenant.KeyDigest;
 import org.cowslipstair.model.tenant.Tenant;
@@ -20,6 +22,7 @@
   private final Map<String, List<Route>> routesByHost = new HashMap<>();
   private final List<Tenant> tenants;
   private final Map<KeyDigest, Tenant> tenantsByKey = new HashMap<>();
+  private final Set<KeyDigest> sharedKeys = new HashSet<>();
 
   /**
    * Creates a plan without tenants.
@@ -56,7 +59,14 @@
         Comparator.comparingInt((Route route) -> route.pathPrefix().length()).reversed();
     routesByHost.values().forEach(routesOfHost -> routesOfHost.sort(byDescendingPrefixLength));
     this.tenants = List.copyOf(tenants);
-    this.tenants.forEach(tenant -> tenant.keys().forEach(key -> tenantsByKey.put(key, tenant)));
+    for (Tenant tenant : this.tenants) {
+      for (KeyDigest key : tenant.keys()) {
+        if (tenantsByKey.put(key, tenant) != null) {
+          sharedKeys.add(key);
+        }
+      }
+    }
+    tenantsByKey.keySet().removeAll(sharedKeys);
   }
 
   /** Returns the version. */
@@ -84,11 +94,21 @@
     return tenants;
   }
 
-  /** Returns the tenant that holds a key; empty if no tenant does. */
+  /**
+   * Returns the tenant that holds a key; empty if no tenant does, or if several do, since the key
+   * then tells nothing of its sender.
+   */
   public Optional<Tenant> tenant(KeyDigest key) {
     return Optional.ofNullable(tenantsByKey.get(key));
   }
 
+  /**
+   * Returns the number of a tenant's keys that another tenant holds too, and that are of no use.
+   */
+  public int sharedKeyCount(Tenant tenant) {
+    return (int) tenant.keys().stream().filter(sharedKeys::contains).count();
+  }
+
   /** Returns all routes. */
   public List<Route> routes() {
     return routesByHost.values().stream().flatMap(List::stream).toList();
