--- a/adapters/src/main/java/org/cowslipstair/adapters/http/Problem.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/http/Problem.java
@@ -65,6 +65,8 @@
   private static int status(NotRunReason reason) {
     return switch (reason) {
       case NO_ROUTE -> 404;
+      case UNKNOWN_KEY -> 401;
+      case OVER_QUOTA -> 429;
       case MISSING_KEY -> 400;
       case DUPLICATE_KEY -> 409;
       case CALLER_GONE -> 400;
@@ -80,6 +82,7 @@
           GATEWAY_STOPPING,
           GATEWAY_ISOLATED,
           NO_CONFIGURATION,
+          CONFIGURATION_OUTDATED,
           STORE_UNAVAILABLE ->
           503;
     };
