--- a/edge/src/main/java/org/cowslipstair/edge/StateDump.java
+++ b/edge/src/main/java/org/cowslipstair/edge/StateDump.java
@@ -16,6 +16,7 @@
 import org.cowslipstair.logic.traffic.TrafficStateCache;
 import org.cowslipstair.model.traffic.BackendInstance;
 import org.cowslipstair.model.traffic.GatewayEntry;
+import org.cowslipstair.model.traffic.TrafficPlan;
 import org.cowslipstair.port.ObjectFeed.Collection;
 
 /** Writes the state of a gateway as JSON for operators. Used on the event loop only. */
@@ -47,6 +48,8 @@
     root.put("name", settings.name()).put("zone", settings.zone().value()).put("ready", isReady);
     root.put("callerConnections", callerConnections);
     root.put("configurationVersion", table.state().plan().map(plan -> plan.version()).orElse(0L));
+    ArrayNode tenants = root.putArray("tenants");
+    table.state().plan().ifPresent(plan -> addTenants(tenants, plan));
     ObjectNode revisions = root.putObject("revisions");
     for (Collection collection : Collection.values()) {
       revisions.put(collection.name().toLowerCase(Locale.ROOT), stateCache.revision(collection));
@@ -56,6 +59,7 @@
     relay
         .put("watchesStore", sync.isWatching())
         .put("isSupplied", sync.isSupplied())
+        .put("stateIsCurrent", sync.isCurrent())
         .put("supplies", sync.subscriberCount());
     sync.proofAgeMs().ifPresent(ageMs -> relay.put("storeProofAgeMs", ageMs));
     ObjectNode suppliers = relay.putObject("proofAgeMsBySupplier");
@@ -77,6 +81,19 @@
     return root.toPrettyString();
   }
 
+  /** Adds the tenants with the numbers of their keys; no dump has a key or its digest. */
+  private static void addTenants(ArrayNode nodes, TrafficPlan plan) {
+    plan.tenants().stream()
+        .sorted(Comparator.comparing(tenant -> tenant.name().value()))
+        .forEach(
+            tenant ->
+                nodes
+                    .addObject()
+                    .put("name", tenant.name().value())
+                    .put("keys", tenant.keys().size())
+                    .put("keysOfOthersToo", plan.sharedKeyCount(tenant)));
+  }
+
   private ObjectNode suspect(SuspectRequest suspect, long nowNs) {
     ObjectNode node = JsonNodeFactory.instance.objectNode();
     node.put("fingerprint", suspect.fingerprint().hex())
