--- a/edge/src/test/java/org/cowslipstair/edge/GatewayFixture.java
+++ b/edge/src/test/java/org/cowslipstair/edge/GatewayFixture.java
@@ -7,6 +7,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.subjects.BehaviorSubject;
 import java.io.IOException;
 import java.net.BindException;
 import java.net.ServerSocket;
@@ -15,6 +16,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -28,6 +30,7 @@
 import org.cowslipstair.model.config.HostPort;
 import org.cowslipstair.model.config.ServiceName;
 import org.cowslipstair.model.config.ZoneName;
+import org.cowslipstair.model.tenant.Tenant;
 import org.cowslipstair.model.traffic.BackendInstance;
 import org.cowslipstair.model.traffic.CallerBounds;
 import org.cowslipstair.model.traffic.GatewayEntry;
@@ -57,6 +60,7 @@
           "X-Tenant");
   static final long SHORT_TIMEOUT_MS = 1_500;
   static final long LONG_TIMEOUT_MS = 20_000;
+  private static final long HEDGED_LATENCY_MS = 500;
   static final double UNLIMITED_PROBES_PER_SECOND = 10_000;
   private static final ServiceName SERVICE = new ServiceName("s");
   private static final ZoneName ZONE = new ZoneName("z");
@@ -68,7 +72,8 @@
   private final List<EventLoop> loops = new ArrayList<>();
   final FrontGateway gateway;
   private final List<GatewayEntry> gatewayEntries = new ArrayList<>();
-  private final boolean hasConfiguration;
+  private final BehaviorSubject<ObjectFeed.Item> configuration = BehaviorSubject.create();
+  private volatile boolean storeSilent;
   private final MultiThreadIoEventLoopGroup group;
 
   GatewayFixture(int backendCount) throws IOException, InterruptedException {
@@ -145,7 +150,9 @@
       boolean hasConfiguration,
       IntConsumer onListening)
       throws IOException, InterruptedException {
-    this.hasConfiguration = hasConfiguration;
+    if (hasConfiguration) {
+      configure(trafficPlan(1, List.of()));
+    }
     this.group =
         new MultiThreadIoEventLoopGroup(gatewayCount + absentCount, NioIoHandler.newFactory());
     for (int i = 0; i < backendCount; i++) {
@@ -210,6 +217,26 @@
     return gatewayEntries.get(index).relayAddress().port();
   }
 
+  /** Puts a configuration with tenants in force, after the one that gateways start with. */
+  void configureTenants(long version, Tenant... tenants) throws IOException, InterruptedException {
+    configure(trafficPlan(version, List.of(tenants)));
+    for (int i = 0; i < gateways.size(); i++) {
+      while (state(i).path("configurationVersion").asLong() != version) {
+        TimeUnit.MILLISECONDS.sleep(5);
+      }
+    }
+  }
+
+  private void configure(TrafficPlan plan) {
+    configuration.onNext(
+        new ObjectFeed.Item("main", plan.version(), new ObjectFeed.Content.Plan(plan)));
+  }
+
+  /** Lets the store answer nothing any more, or again. */
+  void silenceStore(boolean silent) {
+    storeSilent = silent;
+  }
+
   ScriptedBackend backend() {
     return backends.getFirst();
   }
@@ -248,42 +275,51 @@
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
   }
 
-  private static TrafficPlan trafficPlan() {
+  private static TrafficPlan trafficPlan(long version, List<Tenant> tenants) {
     CallerBounds bounds = new CallerBounds(4_096, 1 << 20, HEAD_TIMEOUT_MS, 5_000);
     return new TrafficPlan(
-        1,
+        version,
         bounds,
         List.of(new ServiceConfig(SERVICE, "/healthz", 100, 5)),
         List.of(
             route("safe", RequestKind.SAFE, LONG_TIMEOUT_MS),
             route("unsafe", RequestKind.UNSAFE, LONG_TIMEOUT_MS),
             route("upload", RequestKind.UPLOAD, LONG_TIMEOUT_MS),
-            route("short", RequestKind.UNSAFE, SHORT_TIMEOUT_MS)));
+            route("short", RequestKind.UNSAFE, SHORT_TIMEOUT_MS),
+            route("hedged", RequestKind.SAFE, LONG_TIMEOUT_MS, HEDGED_LATENCY_MS, false),
+            route("open", RequestKind.SAFE, LONG_TIMEOUT_MS, LONG_TIMEOUT_MS, true)),
+        tenants);
   }
 
   private static Route route(String name, RequestKind kind, long timeoutMs) {
     // The target latency is long, so that a slow test machine causes no hedge.
+    return route(name, kind, timeoutMs, LONG_TIMEOUT_MS, false);
+  }
+
+  private static Route route(
+      String name, RequestKind kind, long timeoutMs, long targetLatencyMs, boolean anonymous) {
     return new Route(
         name,
         "a.example",
         "/" + name + "/",
         kind,
         timeoutMs,
-        LONG_TIMEOUT_MS,
+        targetLatencyMs,
         0,
         2,
-        List.of(new WeightedService(SERVICE, 1)));
+        List.of(new WeightedService(SERVICE, 1)),
+        anonymous);
   }
 
   private final class StaticFeed implements ObjectFeed {
     @Override
     public Single<Page> list(Collection collection, Optional<String> after, Freshness freshness) {
+      if (storeSilent) {
+        return Single.never();
+      }
       List<Item> items =
           switch (collection) {
-            case CONFIGURATION ->
-                hasConfiguration
-                    ? List.of(new Item("main", 1, new Content.Plan(trafficPlan())))
-                    : List.of();
+            case CONFIGURATION -> Optional.ofNullable(configuration.getValue()).stream().toList();
             case BACKENDS ->
                 backends.stream()
                     .map(backend -> new Item(backend.id, 1, instance(backend)))
@@ -294,7 +330,12 @@
                     .toList();
             case ZONES_OUT -> List.of();
           };
-      return Single.just(new Page(items, false, new StorePosition(0, 1)));
+      return Single.just(new Page(items, false, position()));
+    }
+
+    private StorePosition position() {
+      return new StorePosition(
+          0, Optional.ofNullable(configuration.getValue()).map(Item::revision).orElse(1L));
     }
 
     private Content instance(ScriptedBackend backend) {
@@ -305,7 +346,12 @@
 
     @Override
     public Single<Changes> watch(Collection collection, long revision, long waitMs) {
-      return Single.never();
+      return collection == Collection.CONFIGURATION
+          ? configuration
+              .filter(item -> !storeSilent && item.revision() > revision)
+              .firstOrError()
+              .map(item -> new Changes(List.of(item), Set.of(), position()))
+          : Single.never();
     }
 
     @Override
--- a/edge/src/test/java/org/cowslipstair/edge/ScriptedBackend.java
+++ b/edge/src/test/java/org/cowslipstair/edge/ScriptedBackend.java
@@ -24,6 +24,7 @@
 final class ScriptedBackend implements AutoCloseable {
   private static final int BACKLOG = 64;
   final List<ReceivedRequest> receivedRequests = new CopyOnWriteArrayList<>();
+  final List<String> receivedLines = new CopyOnWriteArrayList<>();
   final List<Long> arrivalsNs = new CopyOnWriteArrayList<>();
   final List<Long> crashesNs = new CopyOnWriteArrayList<>();
   final List<String> unexpectedLines = new CopyOnWriteArrayList<>();
@@ -147,6 +148,7 @@
           return;
         }
         arrivalsNs.add(System.nanoTime());
+        receivedLines.addAll(head);
         ReceivedRequest request =
             new ReceivedRequest(head.getFirst(), head.subList(1, head.size()), "", connection);
         if (request.line().startsWith("GET /healthz ")) {
