--- a/cli/src/main/java/org/cowslipstair/cli/CliException.java
+++ b/cli/src/main/java/org/cowslipstair/cli/CliException.java
@@ -48,6 +48,15 @@
     }
   }
 
+  /** The files are well-formed, and what they configure cannot work. */
+  static final class FaultyConfiguration extends CliException {
+    @Serial private static final long serialVersionUID = 1L;
+
+    FaultyConfiguration(long errors) {
+      super(ExitCode.INVALID_INPUT, "%d errors, see above".formatted(errors));
+    }
+  }
+
   /** Other objects still reference the object. */
   static final class StillReferenced extends CliException {
     @Serial private static final long serialVersionUID = 1L;
