--- a/edge/src/test/java/org/cowslipstair/edge/ScriptedBackend.java
+++ b/edge/src/test/java/org/cowslipstair/edge/ScriptedBackend.java
@@ -31,6 +31,7 @@
   final String id;
   volatile String load = "0,0,3,100";
   volatile String healthHeaders = "";
+  volatile String healthStatusLine = "HTTP/1.1 200 OK";
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
   private final int port;
   private volatile ServerSocket server;
@@ -189,8 +190,9 @@
   interface EarlyResponseScript extends Script {}
 
   private String healthResponse() {
-    return "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n%sContent-Length: 0\r\n\r\n"
+    return "%s\r\n%s: %s\r\n%s: %s\r\n%sContent-Length: 0\r\n\r\n"
         .formatted(
+            healthStatusLine,
             GatewayFixture.HEADERS.instance(),
             id,
             GatewayFixture.HEADERS.load(),
--- a/edge/src/test/java/org/cowslipstair/edge/http/JsonClientTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/http/JsonClientTest.java
@@ -1,6 +1,7 @@
 package org.cowslipstair.edge.http;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.lessThan;
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -19,6 +20,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 @Timeout(60)
 final class JsonClientTest {
@@ -56,6 +59,27 @@
     assertThat(writtenBytes.get(), lessThan(MAX_BYTES));
   }
 
+  /** A store in trouble, whose status is none: nothing that it sends is a response. */
+  @ParameterizedTest
+  @ValueSource(strings = {"000", "099", "600", "0200", "+200", "101"})
+  void statusThatIsNoneIsNoResponse(String status) throws IOException {
+    JsonClient client =
+        new JsonClient(
+            group.next(),
+            new ServerConnector(group.next(), "X-Id", 1_000),
+            new HostPort("127.0.0.1", server.getLocalPort()));
+    TestObserver<JsonClient.Response> response =
+        client.call(HttpMethod.GET, "/objects/x", "", TIMEOUT_MS).test();
+    try (Socket socket = server.accept()) {
+      String bytes = "HTTP/1.1 %s X\r\nContent-Length: 2\r\n\r\n{}".formatted(status);
+      socket.getOutputStream().write(bytes.getBytes(StandardCharsets.US_ASCII));
+      response.awaitDone(TIMEOUT_MS / 2, TimeUnit.MILLISECONDS);
+      response.assertError(cause -> cause instanceof ServerBytesException.Malformed);
+      byte[] request = socket.getInputStream().readAllBytes();
+      assertThat(request.length, greaterThan(0));
+    }
+  }
+
   private void writeWithoutEnd() {
     byte[] part = "x".repeat(64 * 1024).getBytes(StandardCharsets.US_ASCII);
     try (Socket socket = server.accept()) {
