--- a/adapters/src/main/java/org/cowslipstair/adapters/http/AnswerFraming.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/http/AnswerFraming.java
@@ -6,21 +6,25 @@
 import okhttp3.Response;
 
 /**
- * Checks that the end of an answer's body can be recognised. A body that ends with its connection
- * cannot be told from one that was cut short.
+ * Checks that the status of an answer is one, and that the end of its body can be recognised. A
+ * body that ends with its connection cannot be told from one that was cut short.
  */
 final class AnswerFraming {
-  private static final int SWITCHING_PROTOCOLS = 101;
+  private static final int MIN_FINAL_STATUS = 200;
+  private static final int MAX_STATUS = 599;
   private static final int NO_CONTENT = 204;
   private static final int NOT_MODIFIED = 304;
   private static final int MAX_LENGTH_DIGITS = 18;
 
   private AnswerFraming() {}
 
-  /** Returns the head of an answer, or throws if its body has no recognisable end. */
+  /**
+   * Returns the head of an answer, or throws if its status is none or its body has no recognisable
+   * end. OkHttp skips all informational answers but 101, which nobody asks for.
+   */
   static AnswerHead check(Response response) throws IOException {
-    if (response.code() == SWITCHING_PROTOCOLS) {
-      throw new ProtocolException("answer switches protocols");
+    if (response.code() < MIN_FINAL_STATUS || response.code() > MAX_STATUS) {
+      throw new ProtocolException("answer has status " + response.code());
     }
     List<String> lengths = response.headers("Content-Length");
     List<String> codings = response.headers("Transfer-Encoding");
--- a/adapters/src/main/java/org/cowslipstair/adapters/http/BackendSocket.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/http/BackendSocket.java
@@ -6,6 +6,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.ProtocolException;
 import java.net.Socket;
 import java.net.SocketAddress;
 import java.net.SocketException;
@@ -31,6 +32,7 @@
   private volatile long bytesWritten;
   private volatile long reads;
   private volatile boolean retired;
+  private volatile boolean awaitsAnswer;
 
   BackendSocket() throws IOException {
     channel = SocketChannel.open();
@@ -43,6 +45,14 @@
     return bytesWritten;
   }
 
+  /**
+   * Notes that a request comes next, so that the next byte received begins a status line. OkHttp
+   * also takes one that does not begin with HTTP.
+   */
+  void beginExchange() {
+    awaitsAnswer = true;
+  }
+
   /** Returns how often bytes were received. */
   long reads() {
     return reads;
@@ -193,8 +203,18 @@
     public int read(byte[] bytes, int offset, int length) throws IOException {
       int count = super.read(bytes, offset, length);
       reads = reads + 1;
+      if (count > 0 && awaitsAnswer) {
+        awaitsAnswer = false;
+        checkFirstByte(bytes[offset]);
+      }
       return count;
     }
+
+    private void checkFirstByte(byte first) throws IOException {
+      if (first != 'H') {
+        throw new ProtocolException("answer does not begin with HTTP");
+      }
+    }
   }
 
   private final class CountingOutput extends FilterOutputStream {
--- a/adapters/src/main/java/org/cowslipstair/adapters/http/ExchangeInterceptor.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/http/ExchangeInterceptor.java
@@ -40,7 +40,7 @@
     trace.sendingOn(socket);
     long readsBefore = socket.reads();
     Request exact = chain.request().newBuilder().headers(trace.wireHeaders()).build();
-    Response response = chain.proceed(exact);
+    Response response = proceed(chain, exact);
     if (socket.reads() == readsBefore) {
       throw new IOException("answer arrived before the request was sent");
     }
@@ -49,6 +49,15 @@
     return response.newBuilder().code(OK).headers(NO_HEADERS).build();
   }
 
+  /** OkHttp rejects a status with a sign by an unchecked exception. */
+  private static Response proceed(Chain chain, Request request) throws IOException {
+    try {
+      return chain.proceed(request);
+    } catch (IllegalStateException e) {
+      throw new IOException("answer cannot be read", e);
+    }
+  }
+
   /** Throws if an answer shows the id of another call, or is a refusal that may be a copy. */
   private static void checkId(Response response, Headers sent, BackendSocket socket)
       throws IOException {
--- a/adapters/src/main/java/org/cowslipstair/adapters/http/ExchangeTrace.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/http/ExchangeTrace.java
@@ -36,6 +36,7 @@
   /** Notes the connection that will carry the request, before its first byte. */
   synchronized void sendingOn(BackendSocket connection) {
     bytesWrittenBefore = connection.bytesWritten();
+    connection.beginExchange();
     socket = Optional.of(connection);
   }
 
--- a/adapters/src/main/java/org/cowslipstair/adapters/platform/HttpPlatformStore.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/platform/HttpPlatformStore.java
@@ -42,6 +42,7 @@
   /** Maximum length of a body. */
   private static final long MAX_BODY_BYTES = 32L << 20;
 
+  private static final int MIN_STATUS = 200;
   private static final long WATCH_SLACK_MS = 2_000;
   private static final int MAX_IDLE_CONNECTIONS = 4;
   private static final long IDLE_CONNECTION_MS = 15_000;
@@ -232,12 +233,13 @@
         String cause = "%s answered %d".formatted(address, status);
         throw new StoreException.Unavailable(storeCall.operation(), cause);
       }
-      if (status >= 500) {
+      if (status < MIN_STATUS || status >= 500) {
         String cause = "%s answered %d".formatted(address, status);
         throw new StoreException.AnswerLost(storeCall.operation(), cause);
       }
       return new Answer(status, readBody(storeCall.operation(), response));
-    } catch (IOException e) {
+    } catch (IOException | IllegalStateException e) {
+      // OkHttp rejects a status with a sign by an unchecked exception.
       String cause = address + ": " + e;
       if (mark.sent().get()) {
         throw new StoreException.AnswerLost(storeCall.operation(), cause);
--- a/adapters/src/test/java/org/cowslipstair/adapters/platform/StoreResponsesTest.java
+++ b/adapters/src/test/java/org/cowslipstair/adapters/platform/StoreResponsesTest.java
@@ -17,6 +17,7 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import org.cowslipstair.model.config.HostPort;
+import org.cowslipstair.model.config.ObjectKey;
 import org.cowslipstair.model.config.ObjectKind;
 import org.cowslipstair.port.StoreException;
 import org.junit.jupiter.api.AfterEach;
@@ -34,6 +35,7 @@
   private final ServerSocket listener;
   private final HttpPlatformStore store;
   private final AtomicLong writtenBytes = new AtomicLong();
+  private volatile String status = "200";
   private volatile String body = "";
   private volatile boolean isEndless;
 
@@ -67,7 +69,8 @@
       continue;
     }
     OutputStream out = socket.getOutputStream();
-    out.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+    String head = "HTTP/1.1 %s OK\r\nConnection: close\r\n\r\n".formatted(status);
+    out.write(head.getBytes(StandardCharsets.US_ASCII));
     out.write(body.getBytes(StandardCharsets.UTF_8));
     byte[] part = " ".repeat(64 * 1024).getBytes(StandardCharsets.US_ASCII);
     while (isEndless && writtenBytes.get() < MAX_BYTES) {
@@ -122,4 +125,16 @@
     assertThrows(StoreException.class, () -> store.list(ZONES));
     assertThat(writtenBytes.get(), lessThan(MAX_BYTES));
   }
+
+  /** A store in trouble: whether a write was done is not known. */
+  @ParameterizedTest
+  @ValueSource(strings = {"000", "099", "600", "+20", "-20", "0200", "1000", "101"})
+  void statusThatIsNoneIsALostAnswer(String odd) {
+    status = odd;
+    body = "{}";
+    assertThrows(StoreException.AnswerLost.class, () -> store.list(ZONES));
+    ObjectKey key = new ObjectKey(ObjectKind.ZONE, "z");
+    assertThrows(StoreException.AnswerLost.class, () -> store.put(key, "{}", 0, "change"));
+    assertThrows(StoreException.AnswerLost.class, () -> store.delete(key, 0, "change"));
+  }
 }
