--- a/edge/src/test/java/org/cowslipstair/edge/RateLimitFleetTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/RateLimitFleetTest.java
@@ -20,7 +20,6 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.cowslipstair.logic.budget.GatewayRanking;
-import org.cowslipstair.model.config.BackendName;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -139,8 +138,7 @@
     fixture = GatewayFixture.fleet(GATEWAYS, 1);
     fixture.backend().script(ScriptedBackend.Script.limited(LIMIT_PER_SECOND));
     List<String> names = List.of("g", "g-1", "g-2", "g-3");
-    String issuer =
-        new GatewayRanking().ranked(new BackendName(fixture.backend().id), names).getFirst();
+    String issuer = new GatewayRanking().ranked(fixture.backend().id, names).getFirst();
     int other = (names.indexOf(issuer) + 1) % GATEWAYS;
     callAllGateways();
     assertThat(permitIssuer(other), is(issuer));
--- a/lib/src/main/java/org/cowslipstair/logic/budget/ColdSendLimiter.java
+++ b/lib/src/main/java/org/cowslipstair/logic/budget/ColdSendLimiter.java
@@ -101,10 +101,10 @@
   }
 
   private int computeRankOfSelf(BackendName backend, Collection<String> gateways) {
-    long ownWeight = GatewayRanking.weight(backend, self);
+    long ownWeight = GatewayRanking.weight(backend.value(), self);
     int rank = 0;
     for (String gateway : gateways) {
-      if (!gateway.equals(self) && GatewayRanking.weight(backend, gateway) > ownWeight) {
+      if (!gateway.equals(self) && GatewayRanking.weight(backend.value(), gateway) > ownWeight) {
         rank++;
       }
     }
--- /dev/null
+++ b/lib/src/main/java/org/cowslipstair/logic/quota/QuotaBounds.java
@@ -0,0 +1,39 @@
+package org.cowslipstair.logic.quota;
+
+import org.cowslipstair.model.tenant.Quota;
+import org.cowslipstair.model.tenant.QuotaPolicy;
+
+/**
+ * What the fleet may issue of a quota. The tolerance of the policy, by which a window may exceed
+ * the quota, is divided: a quarter lets requests bunch up, two quarters let new issuers begin
+ * before they have earned permits (once, and once more after restarts), a quarter is left for
+ * gateways that count the fleet differently.
+ */
+public record QuotaBounds(Quota quota, QuotaPolicy policy) {
+  private static final double DEPTH_SHARE = 0.25;
+  private static final double ADVANCE_SHARE = 0.25;
+  private static final long NS_PER_MS = 1_000_000L;
+
+  /** Returns the permits that the whole fleet may save up. */
+  double depth() {
+    return quota.burstRequests() + DEPTH_SHARE * tolerance();
+  }
+
+  /** Returns the permits that the whole fleet may get in advance, once in a window. */
+  double advance() {
+    return ADVANCE_SHARE * tolerance();
+  }
+
+  /** Returns the maximum number of requests in any window. */
+  long maxInWindow() {
+    return (long) policy.maxRequests(quota);
+  }
+
+  long windowNs() {
+    return policy.windowMs() * NS_PER_MS;
+  }
+
+  private double tolerance() {
+    return policy.maxRequests(quota) - quota.requestsIn(policy.windowMs());
+  }
+}
--- a/lib/src/main/java/org/cowslipstair/logic/ratelimit/RateLimitCoordinator.java
+++ b/lib/src/main/java/org/cowslipstair/logic/ratelimit/RateLimitCoordinator.java
@@ -76,7 +76,7 @@
    */
   public Optional<String> issuer(
       BackendName backend, Collection<String> gateways, Predicate<String> isUnreachable) {
-    for (String gateway : ranking.ranked(backend, gateways)) {
+    for (String gateway : ranking.ranked(backend.value(), gateways)) {
       if (gateway.equals(self) || !isUnreachable.test(gateway)) {
         return Optional.of(gateway);
       }
@@ -90,7 +90,7 @@
    */
   public List<String> skipped(
       BackendName backend, Collection<String> gateways, Predicate<String> isUnreachable) {
-    return ranking.ranked(backend, gateways).stream()
+    return ranking.ranked(backend.value(), gateways).stream()
         .takeWhile(gateway -> !gateway.equals(self) && isUnreachable.test(gateway))
         .toList();
   }
@@ -121,7 +121,7 @@
     if (requests == 0) {
       return new Response.Denied(0);
     }
-    boolean isFirst = ranking.ranked(backend, gateways).getFirst().equals(self);
+    boolean isFirst = ranking.ranked(backend.value(), gateways).getFirst().equals(self);
     PermitIssuer.Role role =
         isFirst && unconfirmed(backend, gateways, isUnreachable).isEmpty()
             ? PermitIssuer.Role.PRIMARY
@@ -139,7 +139,7 @@
    */
   public List<String> unconfirmed(
       BackendName backend, Collection<String> gateways, Predicate<String> isUnreachable) {
-    List<String> ranked = ranking.ranked(backend, gateways);
+    List<String> ranked = ranking.ranked(backend.value(), gateways);
     if (ranked.isEmpty() || !ranked.getFirst().equals(self)) {
       return List.of();
     }
