--- a/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
+++ b/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
@@ -19,6 +19,9 @@
 import org.cowslipstair.edge.peer.PeerNetwork;
 import org.cowslipstair.edge.permit.PermitService;
 import org.cowslipstair.edge.quarantine.QuarantineService;
+import org.cowslipstair.edge.quota.QuotaLimits;
+import org.cowslipstair.edge.quota.QuotaService;
+import org.cowslipstair.edge.quota.QuotaStep;
 import org.cowslipstair.edge.relay.StateSync;
 import org.cowslipstair.edge.sync.CountingFeed;
 import org.cowslipstair.logic.budget.ColdSendLimiter;
@@ -83,6 +86,7 @@
   private final ColdSendLimiter coldSendLimiter;
   private final PermitService permits;
   private final QuarantineService quarantine;
+  private final QuotaService quotas;
   private PermitService.Fleet fleet = new PermitService.Fleet(List.of(), List.of());
   private boolean gaugesRegistered;
   private volatile CallerServer callerServer;
@@ -111,6 +115,7 @@
             () -> fleet,
             network);
     this.quarantine = createQuarantine(network);
+    this.quotas = createQuotas(network);
     this.stateSync =
         new StateSync(settings, components.with(feed), stateCache, this::applyState, network);
     this.probeRateLimiter =
@@ -136,7 +141,7 @@
                     permits,
                     quarantine,
                     new CandidateOrder(settings.name(), settings.zone(), components.random()),
-                    List.of(),
+                    List.of(QuotaStep.factory(quotas, components.clock())),
                     components.monitor()),
                 log));
     this.callerContext =
@@ -166,6 +171,12 @@
         network);
   }
 
+  private QuotaService createQuotas(PeerNetwork network) {
+    QuotaLimits limits =
+        new QuotaLimits(() -> settings.policies().quota(), () -> table.state().plan());
+    return QuotaService.create(settings, components, limits, () -> fleet.names(), network);
+  }
+
   /**
    * Starts a gateway; it is ready once it has read the configuration.
    *
@@ -207,7 +218,7 @@
   }
 
   private String stateJson() {
-    return new StateDump(stateCache, table, stateSync, permits, quarantine)
+    return new StateDump(stateCache, table, stateSync, permits, quarantine, quotas)
         .json(settings, isReady(), callerContext.connectionCount(), components.clock().nowNs());
   }
 
@@ -238,6 +249,7 @@
     metrics.registerGauge("probes.over.budget", probeRateLimiter::refusedCount);
     metrics.registerGauge("cold.sends", coldSendLimiter::sentCount);
     metrics.registerGauge("permits.issued", permits::issuedCount);
+    quotas.registerGauges(metrics);
     metrics.registerGauge("requests.suspected", () -> quarantine.suspects().size());
     metrics.registerGauge("requests.held.back", quarantine::heldBackCount);
     metrics.registerGauge(
@@ -275,6 +287,7 @@
     if (gateways != fleet.gateways()) {
       fleet = new PermitService.Fleet(gateways, gateways.stream().map(GatewayEntry::name).toList());
     }
+    quotas.onConfiguration();
     int gatewayCount = gateways.size();
     table.setGatewayCount(gatewayCount);
     probeRateLimiter.setShare(Math.max(1, state.backends().size()), gatewayCount);
--- a/edge/src/main/java/org/cowslipstair/edge/StateDump.java
+++ b/edge/src/main/java/org/cowslipstair/edge/StateDump.java
@@ -10,9 +10,12 @@
 import org.cowslipstair.edge.backend.BackendTable;
 import org.cowslipstair.edge.permit.PermitService;
 import org.cowslipstair.edge.quarantine.QuarantineService;
+import org.cowslipstair.edge.quota.QuotaService;
+import org.cowslipstair.edge.quota.QuotaStatus;
 import org.cowslipstair.edge.relay.StateSync;
 import org.cowslipstair.logic.placement.BackendStats;
 import org.cowslipstair.logic.quarantine.SuspectRequest;
+import org.cowslipstair.logic.quota.QuotaIssuer;
 import org.cowslipstair.logic.traffic.TrafficStateCache;
 import org.cowslipstair.model.traffic.BackendInstance;
 import org.cowslipstair.model.traffic.GatewayEntry;
@@ -27,18 +30,21 @@
   private final StateSync sync;
   private final PermitService permits;
   private final QuarantineService quarantine;
+  private final QuotaService quotas;
 
   StateDump(
       TrafficStateCache stateCache,
       BackendTable table,
       StateSync sync,
       PermitService permits,
-      QuarantineService quarantine) {
+      QuarantineService quarantine,
+      QuotaService quotas) {
     this.stateCache = stateCache;
     this.table = table;
     this.sync = sync;
     this.permits = permits;
     this.quarantine = quarantine;
+    this.quotas = quotas;
   }
 
   /** Returns the state as JSON. Times are in milliseconds from now. */
@@ -74,9 +80,31 @@
     quarantine.suspects().stream()
         .sorted(Comparator.comparing(suspect -> suspect.fingerprint().hex()))
         .forEach(suspect -> suspects.add(suspect(suspect, nowNs)));
+    putQuota(root.putObject("quota"), quotas.status(), nowNs);
     return root.toPrettyString();
   }
 
+  private static void putQuota(ObjectNode node, QuotaStatus status, long nowNs) {
+    status.lentTo().ifPresent(gateway -> node.put("shareLentTo", gateway));
+    node.put("shareOfFleetLentHere", status.lentShare())
+        .put("granted", status.grantedCount())
+        .put("denied", status.deniedCount())
+        .put("forwarded", status.forwardedCount())
+        .put("unanswered", status.unansweredCount())
+        .put("refused", status.refusedCount());
+    ArrayNode tenants = node.putArray("topTenantsIssuedHere");
+    for (QuotaIssuer.Usage usage : status.topUsages()) {
+      tenants
+          .addObject()
+          .put("name", usage.tenant().value())
+          .put("requestsPerSecond", usage.bounds().quota().requestsPerSecond())
+          .put("burst", usage.bounds().quota().burstRequests())
+          .put("issuedInWindow", usage.issuedInWindow())
+          .put("available", usage.tokens())
+          .put("lastIssuedMs", (nowNs - usage.lastIssuedNs()) / NS_PER_MS);
+    }
+  }
+
   private ObjectNode suspect(SuspectRequest suspect, long nowNs) {
     ObjectNode node = JsonNodeFactory.instance.objectNode();
     node.put("fingerprint", suspect.fingerprint().hex())
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/RefusalWriter.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/RefusalWriter.java
@@ -57,7 +57,7 @@
       case NO_ROUTE, UNKNOWN_KEY -> OptionalLong.empty();
       // Returning before the next trial is of no use, however long the caller waits.
       case CRASHES_BACKENDS -> refusal.roomInNs();
-      case BACKENDS_PAUSED ->
+      case BACKENDS_PAUSED, OVER_QUOTA ->
           refusal.roomInNs().isEmpty()
               ? OptionalLong.empty()
               : OptionalLong.of(returnDelay.announcedDelayNs(refusal.roomInNs().getAsLong()));
--- a/lib/src/main/java/org/cowslipstair/logic/overload/ReturnDelay.java
+++ b/lib/src/main/java/org/cowslipstair/logic/overload/ReturnDelay.java
@@ -49,10 +49,10 @@
   }
 
   /**
-   * Returns the delay, in nanoseconds, where backend servers have said when they want requests
-   * again. Returning earlier is of no use, however long the caller waits.
+   * Returns the delay, in nanoseconds, where it is known when requests are wanted or allowed again.
+   * Returning earlier is of no use, however long the caller waits.
    *
-   * @param roomInNs time until the first backend server wants requests
+   * @param roomInNs time until the first request is wanted or allowed
    */
   public long announcedDelayNs(long roomInNs) {
     long spreadNs = Math.clamp(roomInNs, MIN_SPREAD_NS, MAX_ROOM_NS);
--- a/lib/src/main/java/org/cowslipstair/logic/quota/DenialMemory.java
+++ b/lib/src/main/java/org/cowslipstair/logic/quota/DenialMemory.java
@@ -2,7 +2,6 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Optional;
 import org.cowslipstair.model.tenant.TenantName;
 
 /**
@@ -66,15 +65,15 @@
     return entry != null && entry.pausedUntilNs - nowNs > 0;
   }
 
-  /** Returns what to tell the next caller of a tenant that has been denied; empty if it was not. */
-  public Optional<Denial> next(TenantName tenant, long nowNs) {
+  /** Returns what to tell the next caller of a tenant that has been denied. */
+  public Denial next(TenantName tenant, long nowNs) {
     Entry entry = entries.get(tenant);
     if (entry == null) {
-      return Optional.empty();
+      return new Denial(MIN_PAUSE_NS, true);
     }
     long firstNs = Math.max(entry.availableNs, nowNs);
     long turnNs = Math.max(firstNs, entry.lastReturnNs + entry.spacingNs);
     entry.lastReturnNs = Math.min(turnNs, firstNs + MAX_SPREAD_NS);
-    return Optional.of(new Denial(entry.lastReturnNs - nowNs, entry.isOverQuota));
+    return new Denial(entry.lastReturnNs - nowNs, entry.isOverQuota);
   }
 }
--- a/lib/src/main/java/org/cowslipstair/logic/quota/QuotaCoordinator.java
+++ b/lib/src/main/java/org/cowslipstair/logic/quota/QuotaCoordinator.java
@@ -1,5 +1,8 @@
 package org.cowslipstair.logic.quota;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.google.common.hash.Hashing;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -7,6 +10,7 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 import org.cowslipstair.logic.budget.GatewayRanking;
+import org.cowslipstair.logic.invariant.InvariantMonitor;
 import org.cowslipstair.model.tenant.TenantName;
 
 /**
@@ -53,6 +57,20 @@
     this.lender = lender;
   }
 
+  /**
+   * Creates a coordinator of a process that has neither lent nor issued anything.
+   *
+   * @param random random number; the number of the process follows from it and the name
+   * @param firstStart whether the whole fleet starts for the first time
+   */
+  public static QuotaCoordinator create(
+      String self, long random, boolean firstStart, InvariantMonitor monitor, long nowNs) {
+    // A fleet may share a seed, and 0 stands for an unknown process.
+    long id = (random ^ Hashing.murmur3_128().hashString(self, UTF_8).asLong()) | 1;
+    return new QuotaCoordinator(
+        self, new QuotaIssuer(id, firstStart, monitor, nowNs), new ShareLender(nowNs));
+  }
+
   /** Returns the issuer part of this gateway. */
   public QuotaIssuer issuer() {
     return issuer;
