--- a/edge/src/main/java/org/cowslipstair/edge/quota/QuotaService.java
+++ b/edge/src/main/java/org/cowslipstair/edge/quota/QuotaService.java
@@ -224,7 +224,7 @@
       String issuer, QuotaMessage.Wanted wanted, int attempts, long replyNs, Listener listener) {
     forwardedCount++;
     ShareOffer offer = coordinator.offer(issuer, windowNs(), clock.nowNs());
-    boolean isFirstContact = offer.kind() == ShareOffer.Kind.NONE;
+    boolean isFirstContact = offer.issuerId() == 0;
     requests.send(
         issuer,
         offer,
