--- a/edge/src/test/java/org/cowslipstair/edge/GatewayFixture.java
+++ b/edge/src/test/java/org/cowslipstair/edge/GatewayFixture.java
@@ -30,6 +30,7 @@
 import org.cowslipstair.model.config.HostPort;
 import org.cowslipstair.model.config.ServiceName;
 import org.cowslipstair.model.config.ZoneName;
+import org.cowslipstair.model.tenant.QuotaPolicy;
 import org.cowslipstair.model.tenant.Tenant;
 import org.cowslipstair.model.traffic.BackendInstance;
 import org.cowslipstair.model.traffic.CallerBounds;
@@ -62,6 +63,10 @@
   static final long LONG_TIMEOUT_MS = 20_000;
   private static final long HEDGED_LATENCY_MS = 500;
   static final double UNLIMITED_PROBES_PER_SECOND = 10_000;
+
+  /** Without a tenant that has a quota, the policy has no effect. */
+  static final QuotaPolicy QUOTA_POLICY = new QuotaPolicy(5_000, 0.1, 20);
+
   private static final ServiceName SERVICE = new ServiceName("s");
   private static final ZoneName ZONE = new ZoneName("z");
   private static final long HEAD_TIMEOUT_MS = 300;
@@ -194,7 +199,7 @@
             1.5,
             5,
             new FrontSettings.FleetLimits(probesPerSecond, 3_000, 400L << 20, 50),
-            FrontSettings.FleetPolicies.none());
+            new FrontSettings.FleetPolicies(Optional.of(QUOTA_POLICY), Optional.empty()));
     EventLoop loop = group.next();
     loops.add(loop);
     ServerSocketChannel socket = CallerServer.bind(new HostPort("127.0.0.1", 0));
