--- a/lib/src/main/java/org/cowslipstair/logic/placement/PlacementRule.java
+++ b/lib/src/main/java/org/cowslipstair/logic/placement/PlacementRule.java
@@ -80,7 +80,7 @@
     if (best.filter(option -> isGoodEnough(option.estimate, nowNs)).isPresent()) {
       return Step.SELECT;
     }
-    boolean hasTime = nowNs < selectionEndNs;
+    boolean hasTime = nowNs < (best.isEmpty() ? firstResponseEndNs() : selectionEndNs);
     if (hasTime && remaining.hasLocal) {
       return Step.PROBE_LOCAL;
     }
@@ -96,6 +96,16 @@
     return isWorthSending(best.get().estimate, nowNs) ? Step.SELECT : Step.REFUSE_NO_ROOM;
   }
 
+  /**
+   * Returns until when the first response to a probe is awaited. A gateway with a slow processor
+   * reads it late, which tells nothing of the backend server: refusing a request that could still
+   * be in time costs its caller more than the wait. Nothing is lost by giving up a hedge.
+   */
+  private long firstResponseEndNs() {
+    long latestStartNs = Math.min(targetDeadlineNs, deadlineNs) - (long) serviceTimeNs;
+    return isHedge ? selectionEndNs : Math.max(selectionEndNs, latestStartNs);
+  }
+
   /**
    * Returns whether sending the request is better than refusing it. A request that would queue and
    * still be late is refused: in the queue it would make others late too, while its caller can
