--- a/edge/src/main/java/org/cowslipstair/edge/relay/RelaySubscriptions.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/RelaySubscriptions.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import org.cowslipstair.edge.FrontSettings;
 import org.cowslipstair.logic.relay.WatcherSelector;
 import org.cowslipstair.model.config.HostPort;
@@ -37,6 +38,13 @@
    */
   private static final long FIRST_PROOF_TIMEOUT_NS = 2_000_000_000L;
 
+  /**
+   * Age of its own proof from which a watcher is cut off from the store and has others supply it.
+   * Together with the time to connect, this stays within the time in which a change has to be in
+   * force.
+   */
+  private static final long MAX_OWN_PROOF_AGE_NS = 2_000_000_000L;
+
   private final FrontSettings settings;
   private final EventLoop loop;
   private final MonotonicClock clock;
@@ -49,6 +57,7 @@
   private boolean fresh;
   private long freshSinceNs;
   private long staleSinceNs;
+  private long ownProofNs;
 
   RelaySubscriptions(
       FrontSettings settings, EventLoop loop, MonotonicClock clock, RelayLink.Listener listener) {
@@ -58,6 +67,7 @@
     this.listener = listener;
     this.watcherSelector = new WatcherSelector(settings.name(), settings.zone());
     this.startedNs = clock.nowNs();
+    this.ownProofNs = startedNs;
   }
 
   /** Subscribes to the seeds, so that a state is available even while the store is unreachable. */
@@ -73,7 +83,16 @@
   }
 
   /**
-   * Maintains a link to each watcher of the zone and closes links that are no longer needed.
+   * Records the monotonic time at which what this gateway reads from the store was current; empty
+   * if that is not known yet.
+   */
+  void recordOwnProof(OptionalLong asOfNs) {
+    ownProofNs = asOfNs.orElse(ownProofNs);
+  }
+
+  /**
+   * Maintains a link to each watcher of the zone, unless this gateway is one that is in contact
+   * with the store, and closes links that are no longer needed.
    *
    * @return whether this gateway itself is a watcher
    */
@@ -85,9 +104,10 @@
     handleStaleLinks(nowNs);
     List<GatewayEntry> watchers = watcherSelector.watchers(gateways, nowNs);
     boolean isWatcher = watchers.stream().anyMatch(watcher -> watcher.name().equals(self.name()));
+    boolean needsSupply = !isWatcher || nowNs - ownProofNs > MAX_OWN_PROOF_AGE_NS;
     for (GatewayEntry watcher : watchers) {
       boolean isOther = !watcher.name().equals(self.name());
-      if (!isWatcher && isOther && !links.containsKey(watcher.name())) {
+      if (needsSupply && isOther && !links.containsKey(watcher.name())) {
         RelayLink link = new RelayLink(watcher, clock, listener);
         links.put(watcher.name(), link);
         connectingSinceNs.putIfAbsent(watcher.name(), nowNs);
@@ -98,7 +118,7 @@
         .values()
         .removeIf(
             link -> {
-              boolean isNeeded = !isWatcher && watchers.contains(link.peer());
+              boolean isNeeded = needsSupply && watchers.contains(link.peer());
               boolean isSkipped = watcherSelector.isSkipped(link.peer().name(), nowNs);
               if (!isNeeded && !isSkipped) {
                 link.close();
--- a/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
@@ -225,6 +225,8 @@
     boolean hasGraceElapsed =
         nowNs - fleetUnknownUntilNs > PROOF_GRACE_MS * NS_PER_MS
             || nowNs - startedNs > FLEET_GRACE_MS * NS_PER_MS;
+    subscriptions.recordOwnProof(
+        isWatching() ? storeWatch.currentAsOfNs() : OptionalLong.of(nowNs));
     boolean isWatcher = subscriptions.update(knownGateways, self, nowNs);
     boolean isSupplied = subscriptions.isFresh();
     boolean isAlone =
--- a/edge/src/test/java/org/cowslipstair/edge/relay/StateSyncTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/relay/StateSyncTest.java
@@ -178,6 +178,21 @@
     await(() -> nodes.stream().allMatch(node -> node.version() == 2));
   }
 
+  /** A key that was withdrawn would go on to work at a gateway that the store turns away. */
+  @Test
+  void changeReachesEachGatewayThatAloneIsCutOffFromTheStore() throws InterruptedException {
+    startFleet();
+    await(() -> nodes.stream().allMatch(node -> node.knownGateways == nodes.size()));
+    for (Node cutOff : List.copyOf(nodes)) {
+      cutOff.silent = true;
+      long next = version + 1;
+      version = next;
+      await(() -> cutOff.version() == next);
+      cutOff.silent = false;
+      await(() -> nodes.stream().allMatch(node -> node.version() == next));
+    }
+  }
+
   @Test
   void newGatewayGetsItsStateFromASeedWhileTheStoreIsUnreachable() throws InterruptedException {
     Node first = startNode("g-1", List.of());
@@ -196,6 +211,7 @@
     private final MultiThreadIoEventLoopGroup group =
         new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private volatile long version;
+    private volatile int knownGateways;
     private volatile boolean silent;
 
     Node(String name, List<HostPort> seeds) throws InterruptedException {
@@ -227,7 +243,10 @@
               settings,
               components,
               stateCache,
-              () -> version = stateCache.state(0).plan().map(TrafficPlan::version).orElse(0L),
+              () -> {
+                version = stateCache.state(0).plan().map(TrafficPlan::version).orElse(0L);
+                knownGateways = stateCache.gateways().size();
+              },
               _ -> Optional.empty());
       sync.start();
       await(() -> announced.containsKey(name) || storeUnreachable);
