--- a/edge/src/main/java/org/cowslipstair/edge/relay/RelayCodec.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/RelayCodec.java
@@ -12,6 +12,8 @@
 import org.cowslipstair.model.config.HostPort;
 import org.cowslipstair.model.config.ServiceName;
 import org.cowslipstair.model.config.ZoneName;
+import org.cowslipstair.model.rollout.RolloutOrder;
+import org.cowslipstair.model.rollout.RolloutStatus;
 import org.cowslipstair.model.rollout.ServiceVersion;
 import org.cowslipstair.model.traffic.BackendInstance;
 import org.cowslipstair.model.traffic.GatewayEntry;
@@ -39,6 +41,7 @@
   private static final int GATEWAY = 4;
   private static final int PLAN_WITH_TENANTS = 5;
   private static final int BACKEND_WITH_VERSION = 6;
+  private static final int ROLLOUT = 7;
   private static final int UNREADABLE = 0;
   private static final long NS_PER_MS = 1_000_000L;
 
@@ -163,6 +166,10 @@
                 .packString(gateway.zone().value())
                 .packString(gateway.relayAddress().host())
                 .packInt(gateway.relayAddress().port());
+        case Content.Rollout(RolloutOrder order) -> {
+          packer.packInt(ROLLOUT);
+          packRollout(packer, order);
+        }
         case Content.Unreadable _ -> packer.packInt(UNREADABLE);
       }
     }
@@ -182,6 +189,7 @@
             case BACKEND_WITH_VERSION -> new Content.Backend(unpackBackend(unpacker, true));
             case ZONE_OUT -> new Content.ZoneOut(new ZoneName(unpacker.unpackString()));
             case GATEWAY -> new Content.Gateway(unpackGateway(unpacker));
+            case ROLLOUT -> new Content.Rollout(unpackRollout(unpacker, name, revision));
             default -> new Content.Unreadable("the sender could not decode it");
           };
       items.add(new Item(name, revision, content));
@@ -189,6 +197,32 @@
     return items;
   }
 
+  private static void packRollout(MessageBufferPacker packer, RolloutOrder order)
+      throws IOException {
+    packer
+        .packString(order.service().value())
+        .packString(order.target().value())
+        .packLong(order.durationMs())
+        .packString(order.status().map(status -> status.state().name()).orElse(""))
+        .packString(order.status().map(status -> status.target().value()).orElse(""));
+  }
+
+  private static RolloutOrder unpackRollout(MessageUnpacker unpacker, String name, long revision)
+      throws IOException {
+    ServiceName service = new ServiceName(unpacker.unpackString());
+    ServiceVersion target = new ServiceVersion(unpacker.unpackString());
+    long durationMs = unpacker.unpackLong();
+    String state = unpacker.unpackString();
+    String statusTarget = unpacker.unpackString();
+    Optional<RolloutStatus> status =
+        state.isEmpty()
+            ? Optional.empty()
+            : Optional.of(
+                new RolloutStatus(
+                    RolloutStatus.State.valueOf(state), new ServiceVersion(statusTarget)));
+    return new RolloutOrder(name, revision, service, target, durationMs, status);
+  }
+
   private static GatewayEntry unpackGateway(MessageUnpacker unpacker) throws IOException {
     return new GatewayEntry(
         unpacker.unpackString(),
--- a/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
@@ -103,6 +103,7 @@
     this.onChange = onChange;
     this.storeWatch =
         new StoreWatch(
+            StoreWatch.collections(settings.policies()),
             components.feed(),
             scheduler,
             components.clock(),
@@ -179,7 +180,7 @@
    * still starting.
    */
   private void listCached() {
-    for (Collection collection : StoreWatch.COLLECTIONS) {
+    for (Collection collection : storeWatch.collections()) {
       if (!storeWatch.isWatching() && stateCache.revision(collection) == 0) {
         components
             .feed()
@@ -257,7 +258,7 @@
   }
 
   private void publish(Collection collection, StorePosition position, RelayMessage message) {
-    if (StoreWatch.COLLECTIONS.contains(collection)) {
+    if (storeWatch.collections().contains(collection)) {
       publishedPositions.merge(
           collection, position, (old, next) -> next.compareTo(old) > 0 ? next : old);
     }
--- a/edge/src/main/java/org/cowslipstair/edge/sync/CountingFeed.java
+++ b/edge/src/main/java/org/cowslipstair/edge/sync/CountingFeed.java
@@ -5,6 +5,8 @@
 import java.util.Locale;
 import java.util.Optional;
 import org.cowslipstair.edge.log.GatewayMetrics;
+import org.cowslipstair.model.rollout.RolloutOrder;
+import org.cowslipstair.model.rollout.RolloutStatus;
 import org.cowslipstair.model.traffic.GatewayEntry;
 import org.cowslipstair.port.ObjectFeed;
 import org.cowslipstair.port.StoreException;
@@ -43,6 +45,11 @@
                     "announce", collectionLabel(Collection.GATEWAYS), resultLabel(cause)));
   }
 
+  @Override
+  public Single<Item> recordStatus(RolloutOrder order, RolloutStatus status) {
+    return count(delegate.recordStatus(order, status), "status", Collection.ROLLOUTS);
+  }
+
   private <T> Single<T> count(Single<T> call, String kind, Collection collection) {
     return call.doOnSuccess(_ -> metrics.recordStoreCall(kind, collectionLabel(collection), "done"))
         .doOnError(
--- a/edge/src/main/java/org/cowslipstair/edge/sync/StoreWatch.java
+++ b/edge/src/main/java/org/cowslipstair/edge/sync/StoreWatch.java
@@ -3,6 +3,7 @@
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.disposables.Disposable;
 import io.reactivex.rxjava3.disposables.SerialDisposable;
+import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.EnumSet;
 import java.util.List;
@@ -11,6 +12,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import org.cowslipstair.edge.FrontSettings;
 import org.cowslipstair.logic.traffic.OutageTracker;
 import org.cowslipstair.logic.traffic.ViewCurrency;
 import org.cowslipstair.model.traffic.StorePosition;
@@ -27,7 +29,7 @@
  * probe for all collections while the store is unreachable. Confined to its event loop.
  */
 public final class StoreWatch {
-  /** Collections needed to route requests. */
+  /** Collections that every gateway needs to route requests. */
   public static final List<Collection> COLLECTIONS =
       List.of(Collection.CONFIGURATION, Collection.BACKENDS, Collection.ZONES_OUT);
 
@@ -40,7 +42,8 @@
   private final long changeBatchDelayMs;
   private final StoreProber prober;
   private final OutageTracker outageTracker = new OutageTracker();
-  private final ViewCurrency currency = new ViewCurrency(COLLECTIONS);
+  private final List<Collection> collections;
+  private final ViewCurrency currency;
   private final CollectionReader reader;
   private final SerialDisposable pendingRenewal = new SerialDisposable();
   private final Map<Collection, CollectionFollower> followers = new EnumMap<>(Collection.class);
@@ -72,16 +75,20 @@
   /**
    * Creates a watch that is not started.
    *
+   * @param collections collections to follow
    * @param changeBatchDelayMs pause after a change before watching again, so that further changes
    *     are batched
    */
   public StoreWatch(
+      List<Collection> collections,
       ObjectFeed feed,
       Scheduler scheduler,
       MonotonicClock clock,
       RandomGenerator random,
       long changeBatchDelayMs,
       Listener listener) {
+    this.collections = List.copyOf(collections);
+    this.currency = new ViewCurrency(collections);
     this.feed = feed;
     this.scheduler = scheduler;
     this.clock = clock;
@@ -96,6 +103,20 @@
             () -> List.copyOf(followers.values()).forEach(CollectionFollower::resume));
   }
 
+  /** Returns the collections that a fleet with these policies follows. */
+  public static List<Collection> collections(FrontSettings.FleetPolicies policies) {
+    List<Collection> followed = new ArrayList<>(COLLECTIONS);
+    if (policies.rollout().isPresent()) {
+      followed.add(Collection.ROLLOUTS);
+    }
+    return followed;
+  }
+
+  /** Returns the collections that this watch follows. */
+  public List<Collection> collections() {
+    return collections;
+  }
+
   /** Returns whether this watch is started. */
   public boolean isWatching() {
     return !followers.isEmpty();
@@ -167,7 +188,7 @@
 
   /** Returns whether the store is unreachable for all collections. */
   public boolean isUnreachable() {
-    return lostCollections.size() == COLLECTIONS.size();
+    return lostCollections.size() == collections.size();
   }
 
   /**
@@ -187,8 +208,8 @@
    */
   public void start(boolean isStateKnown) {
     lostCollections.clear();
-    outdatedCollections.addAll(COLLECTIONS);
-    for (Collection collection : COLLECTIONS) {
+    outdatedCollections.addAll(collections);
+    for (Collection collection : collections) {
       followers.put(
           collection,
           new CollectionFollower(
--- a/edge/src/test/java/org/cowslipstair/edge/GatewayFixture.java
+++ b/edge/src/test/java/org/cowslipstair/edge/GatewayFixture.java
@@ -28,6 +28,8 @@
 import org.cowslipstair.model.config.HostPort;
 import org.cowslipstair.model.config.ServiceName;
 import org.cowslipstair.model.config.ZoneName;
+import org.cowslipstair.model.rollout.RolloutOrder;
+import org.cowslipstair.model.rollout.RolloutStatus;
 import org.cowslipstair.model.traffic.BackendInstance;
 import org.cowslipstair.model.traffic.CallerBounds;
 import org.cowslipstair.model.traffic.GatewayEntry;
@@ -39,6 +41,7 @@
 import org.cowslipstair.model.traffic.WeightedService;
 import org.cowslipstair.port.MonotonicClock;
 import org.cowslipstair.port.ObjectFeed;
+import org.cowslipstair.port.StoreException;
 
 /** Gateways on the loopback interface with scripted backend servers on raw sockets. */
 final class GatewayFixture implements AutoCloseable {
@@ -292,7 +295,7 @@
                 gatewayEntries.stream()
                     .map(entry -> new Item(entry.name(), 1, new Content.Gateway(entry)))
                     .toList();
-            case ZONES_OUT -> List.of();
+            case ZONES_OUT, ROLLOUTS -> List.of();
           };
       return Single.just(new Page(items, false, new StorePosition(0, 1)));
     }
@@ -308,6 +311,11 @@
       return Single.never();
     }
 
+    @Override
+    public Single<Item> recordStatus(RolloutOrder order, RolloutStatus status) {
+      return Single.error(new StoreException.Unavailable("record a status", "no rollouts"));
+    }
+
     @Override
     public Completable announce(GatewayEntry gateway) {
       return Completable.complete();
--- a/edge/src/test/java/org/cowslipstair/edge/relay/StateSyncTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/relay/StateSyncTest.java
@@ -27,6 +27,8 @@
 import org.cowslipstair.logic.traffic.TrafficStateCache;
 import org.cowslipstair.model.config.HostPort;
 import org.cowslipstair.model.config.ZoneName;
+import org.cowslipstair.model.rollout.RolloutOrder;
+import org.cowslipstair.model.rollout.RolloutStatus;
 import org.cowslipstair.model.traffic.CallerBounds;
 import org.cowslipstair.model.traffic.GatewayEntry;
 import org.cowslipstair.model.traffic.StorePosition;
@@ -253,7 +255,7 @@
               announced.values().stream()
                   .map(entry -> new Item(entry.name(), 1, new Content.Gateway(entry)))
                   .toList();
-          case BACKENDS, ZONES_OUT -> List.of();
+          case BACKENDS, ZONES_OUT, ROLLOUTS -> List.of();
         };
       }
 
@@ -316,6 +318,11 @@
         return Single.never();
       }
 
+      @Override
+      public Single<Item> recordStatus(RolloutOrder order, RolloutStatus status) {
+        return Single.error(new StoreException.Unavailable("record a status", "no rollouts"));
+      }
+
       @Override
       public Completable announce(GatewayEntry gateway) {
         if (storeUnreachable) {
--- a/edge/src/test/java/org/cowslipstair/edge/sync/FakeFeed.java
+++ b/edge/src/test/java/org/cowslipstair/edge/sync/FakeFeed.java
@@ -8,8 +8,11 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import org.cowslipstair.model.rollout.RolloutOrder;
+import org.cowslipstair.model.rollout.RolloutStatus;
 import org.cowslipstair.model.traffic.GatewayEntry;
 import org.cowslipstair.port.ObjectFeed;
+import org.cowslipstair.port.StoreException;
 
 /** Feed whose responses are supplied by the test. */
 final class FakeFeed implements ObjectFeed {
@@ -33,6 +36,11 @@
     return response;
   }
 
+  @Override
+  public Single<Item> recordStatus(RolloutOrder order, RolloutStatus status) {
+    return Single.error(new StoreException.Unavailable("record a status", "no rollouts"));
+  }
+
   @Override
   public Completable announce(GatewayEntry gateway) {
     return Completable.complete();
--- a/edge/src/test/java/org/cowslipstair/edge/sync/StoreWatchTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/sync/StoreWatchTest.java
@@ -29,6 +29,7 @@
   private int suppliedChanges;
   private final StoreWatch watch =
       new StoreWatch(
+          StoreWatch.COLLECTIONS,
           feed,
           scheduler,
           () -> scheduler.now(TimeUnit.NANOSECONDS),
--- a/experiments/src/main/java/org/cowslipstair/experiments/fleet/DeploymentFeed.java
+++ b/experiments/src/main/java/org/cowslipstair/experiments/fleet/DeploymentFeed.java
@@ -19,6 +19,8 @@
 import org.cowslipstair.model.config.Service;
 import org.cowslipstair.model.config.ServiceName;
 import org.cowslipstair.model.config.ZoneName;
+import org.cowslipstair.model.rollout.RolloutOrder;
+import org.cowslipstair.model.rollout.RolloutStatus;
 import org.cowslipstair.model.traffic.BackendInstance;
 import org.cowslipstair.model.traffic.CallerBounds;
 import org.cowslipstair.model.traffic.GatewayEntry;
@@ -29,6 +31,7 @@
 import org.cowslipstair.model.traffic.TrafficPlan;
 import org.cowslipstair.model.traffic.WeightedService;
 import org.cowslipstair.port.ObjectFeed;
+import org.cowslipstair.port.StoreException;
 
 /**
  * Gives the objects of a deployment to gateways on an event loop, as a store would. Only zones and
@@ -78,6 +81,7 @@
       case BACKENDS -> deployment.services().stream().flatMap(this::backends).toList();
       case ZONES_OUT -> zonesOutSince(0);
       case GATEWAYS -> List.copyOf(gateways.values());
+      case ROLLOUTS -> List.of();
     };
   }
 
@@ -168,6 +172,11 @@
     return new Changes(zonesOutSince(afterRevision), deleted, new StorePosition(0, upTo));
   }
 
+  @Override
+  public Single<Item> recordStatus(RolloutOrder order, RolloutStatus status) {
+    return Single.error(new StoreException.Unavailable("record a status", "no rollouts"));
+  }
+
   @Override
   public Completable announce(GatewayEntry gateway) {
     return Completable.fromAction(
--- a/lib/src/main/java/org/cowslipstair/logic/traffic/TrafficStateCache.java
+++ b/lib/src/main/java/org/cowslipstair/logic/traffic/TrafficStateCache.java
@@ -154,7 +154,7 @@
   private static long returnGraceNs(Collection collection) {
     return switch (collection) {
       case BACKENDS -> OutageTracker.RENEWAL_GRACE_NS;
-      case ZONES_OUT, GATEWAYS -> REWRITE_GRACE_NS;
+      case ZONES_OUT, GATEWAYS, ROLLOUTS -> REWRITE_GRACE_NS;
       case CONFIGURATION -> 0;
     };
   }
--- a/lib/src/main/java/org/cowslipstair/port/ObjectFeed.java
+++ b/lib/src/main/java/org/cowslipstair/port/ObjectFeed.java
@@ -6,6 +6,8 @@
 import java.util.Optional;
 import java.util.Set;
 import org.cowslipstair.model.config.ZoneName;
+import org.cowslipstair.model.rollout.RolloutOrder;
+import org.cowslipstair.model.rollout.RolloutStatus;
 import org.cowslipstair.model.traffic.BackendInstance;
 import org.cowslipstair.model.traffic.GatewayEntry;
 import org.cowslipstair.model.traffic.StorePosition;
@@ -34,6 +36,15 @@
   /** Announces this gateway to the others; also succeeds if it was announced before. */
   Completable announce(GatewayEntry gateway);
 
+  /**
+   * Records the status of a rollout, if its order has not changed since the given revision.
+   *
+   * @return the object as the store then has it, with another status if it has changed; fails with
+   *     {@link StoreException.AnswerLost} if the status may have been recorded, which a second call
+   *     tells
+   */
+  Single<Item> recordStatus(RolloutOrder order, RolloutStatus status);
+
   /** Collections in the store. */
   enum Collection {
     /** The configuration; a single object. */
@@ -43,7 +54,9 @@
     /** The zones that operators took out of service. */
     ZONES_OUT,
     /** The gateways that announced themselves. */
-    GATEWAYS
+    GATEWAYS,
+    /** The orders to move a service to another version. */
+    ROLLOUTS
   }
 
   /** How old listed data may be. */
@@ -68,6 +81,9 @@
     /** A gateway. */
     record Gateway(GatewayEntry gateway) implements Content {}
 
+    /** An order to move a service to another version. */
+    record Rollout(RolloutOrder order) implements Content {}
+
     /**
      * An object that cannot be decoded.
      *
