--- a/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
+++ b/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
@@ -20,6 +20,8 @@
 import org.cowslipstair.edge.permit.PermitService;
 import org.cowslipstair.edge.quarantine.QuarantineService;
 import org.cowslipstair.edge.relay.StateSync;
+import org.cowslipstair.edge.rollout.RolloutService;
+import org.cowslipstair.edge.rollout.VersionRouting;
 import org.cowslipstair.edge.sync.CountingFeed;
 import org.cowslipstair.logic.budget.ColdSendLimiter;
 import org.cowslipstair.logic.budget.ProbeRateLimiter;
@@ -83,6 +85,7 @@
   private final ColdSendLimiter coldSendLimiter;
   private final PermitService permits;
   private final QuarantineService quarantine;
+  private final Optional<RolloutService> rollouts;
   private PermitService.Fleet fleet = new PermitService.Fleet(List.of(), List.of());
   private boolean gaugesRegistered;
   private volatile CallerServer callerServer;
@@ -111,6 +114,7 @@
             () -> fleet,
             network);
     this.quarantine = createQuarantine(network);
+    this.rollouts = createRollouts(feed, network);
     this.stateSync =
         new StateSync(settings, components.with(feed), stateCache, this::applyState, network);
     this.probeRateLimiter =
@@ -135,6 +139,7 @@
                     coldSendLimiter,
                     permits,
                     quarantine,
+                    rollouts.<VersionRouting>map(r -> r).orElseGet(VersionRouting::unrestricted),
                     new CandidateOrder(settings.name(), settings.zone(), components.random()),
                     List.of(),
                     components.monitor()),
@@ -154,6 +159,18 @@
         connector, new NoticeReader(components.headers()), components.random(), components.clock());
   }
 
+  private Optional<RolloutService> createRollouts(ObjectFeed feed, PeerNetwork network) {
+    return settings
+        .policies()
+        .rollout()
+        .map(
+            policy ->
+                new RolloutService(
+                    new RolloutService.Peers(settings.name(), () -> fleet.names(), network),
+                    components.with(feed),
+                    policy));
+  }
+
   private QuarantineService createQuarantine(PeerNetwork network) {
     return new QuarantineService(
         settings.name(),
@@ -258,6 +275,7 @@
     metrics.registerGauge(
         "limited.probes.sent",
         () -> table.entries().stream().mapToLong(e -> e.stats().limitedProbeCount()).sum());
+    rollouts.ifPresent(service -> service.registerGauges(metrics));
     metrics.registerGauge("relay.subscribers", stateSync::subscriberCount);
     metrics.registerGauge("relay.watching", () -> stateSync.isWatching() ? 1 : 0);
     metrics.registerGauge("relay.supplied", () -> stateSync.isSupplied() ? 1 : 0);
@@ -275,6 +293,7 @@
     if (gateways != fleet.gateways()) {
       fleet = new PermitService.Fleet(gateways, gateways.stream().map(GatewayEntry::name).toList());
     }
+    rollouts.ifPresent(r -> r.update(stateCache.items(Collection.ROLLOUTS), state.backends()));
     int gatewayCount = gateways.size();
     table.setGatewayCount(gatewayCount);
     probeRateLimiter.setShare(Math.max(1, state.backends().size()), gatewayCount);
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Attempt.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Attempt.java
@@ -17,6 +17,7 @@
 import org.cowslipstair.edge.http.ResponseListener;
 import org.cowslipstair.edge.http.ServerBytesException;
 import org.cowslipstair.edge.http.ServerConnection;
+import org.cowslipstair.edge.rollout.VersionRouting;
 import org.cowslipstair.model.call.MayHaveRunReason;
 import org.jspecify.annotations.Nullable;
 
@@ -34,6 +35,7 @@
   private final BackendEntry entry;
   private final ServerConnection connection;
   private final Listener listener;
+  private final VersionRouting.Send send;
   private final long sentNs;
   private final BodyBuffer body = new BodyBuffer();
   private @Nullable HttpResponse head;
@@ -76,8 +78,13 @@
   }
 
   Attempt(
-      ExchangeContext context, BackendEntry entry, ServerConnection connection, Listener listener) {
+      ExchangeContext context,
+      BackendEntry entry,
+      ServerConnection connection,
+      VersionRouting.Send send,
+      Listener listener) {
     this.context = context;
+    this.send = send;
     this.entry = entry;
     this.connection = connection;
     this.listener = listener;
@@ -106,6 +113,7 @@
   void cancel() {
     if (!finished) {
       markFinished();
+      send.recordEnd(VersionRouting.Ending.CANCELLED);
       body.release();
       connection.cancel();
     }
@@ -189,21 +197,19 @@
     context.table().release(entry, connection);
     if (streaming) {
       body.release();
-      listener.onAttemptEnded(this, new Result.StreamCompleted());
+      end(new Result.StreamCompleted());
     } else if (isProvenRefusal) {
       body.release();
-      listener.onAttemptEnded(this, new Result.NotExecuted(responseHead.status().code()));
+      end(new Result.NotExecuted(responseHead.status().code()));
     } else if (isRefusal) {
       body.release();
-      listener.onAttemptEnded(
-          this, new Result.Failed(MayHaveRunReason.ANSWER_MALFORMED, "refusal may be a copy"));
+      end(new Result.Failed(MayHaveRunReason.ANSWER_MALFORMED, "refusal may be a copy"));
     } else if (responseHead.status().codeClass() == HttpStatusClass.SUCCESS
         && !isSignedSuccess(responseHead)) {
       body.release();
-      listener.onAttemptEnded(
-          this, new Result.Failed(MayHaveRunReason.ANSWER_MALFORMED, "success without proof"));
+      end(new Result.Failed(MayHaveRunReason.ANSWER_MALFORMED, "success without proof"));
     } else {
-      listener.onAttemptEnded(this, new Result.CompleteResponse(responseHead, body.take()));
+      end(new Result.CompleteResponse(responseHead, body.take()));
     }
   }
 
@@ -227,6 +233,11 @@
   private void fail(Result result) {
     markFinished();
     body.release();
+    end(result);
+  }
+
+  private void end(Result result) {
+    send.recordEnd(AttemptResults.ending(result));
     listener.onAttemptEnded(this, result);
   }
 
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/AttemptResults.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/AttemptResults.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
+import org.cowslipstair.edge.rollout.VersionRouting;
 import org.cowslipstair.model.call.MayHaveRunReason;
 
 /** Functions on the results of sends. */
@@ -21,6 +22,17 @@
     };
   }
 
+  /** Returns how a send ended for the version of its backend server. */
+  static VersionRouting.Ending ending(Attempt.Result result) {
+    return switch (result) {
+      case Attempt.Result.CompleteResponse(var head, _) ->
+          isFailure(head) ? VersionRouting.Ending.FAILED : VersionRouting.Ending.SUCCEEDED;
+      case Attempt.Result.StreamCompleted _ -> VersionRouting.Ending.SUCCEEDED;
+      case Attempt.Result.NotExecuted _ -> VersionRouting.Ending.REFUSED;
+      case Attempt.Result.StreamAborted _, Attempt.Result.Failed _ -> VersionRouting.Ending.FAILED;
+    };
+  }
+
   /** Returns whether the connection ended before there was a complete response. */
   static boolean isConnectionLost(Attempt.Result result) {
     return result instanceof Attempt.Result.StreamAborted
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/BackendEligibility.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/BackendEligibility.java
@@ -7,6 +7,7 @@
 import org.cowslipstair.edge.backend.BackendEntry;
 import org.cowslipstair.logic.placement.BackendStats;
 import org.cowslipstair.logic.ratelimit.PermitIssuer;
+import org.cowslipstair.logic.rollout.VersionChoice;
 import org.cowslipstair.model.call.NotRunReason;
 import org.cowslipstair.model.config.ServiceName;
 import org.cowslipstair.model.traffic.ServiceConfig;
@@ -18,12 +19,14 @@
 final class BackendEligibility {
   private final ExchangeContext context;
   private final ServiceName service;
+  private final VersionChoice versions;
   private final double maxColdRequestsPerSecond;
 
   BackendEligibility(
-      ExchangeContext context, ServiceName service, Optional<ServiceConfig> serviceConfig) {
+      ExchangeContext context, SelectionCriteria criteria, Optional<ServiceConfig> serviceConfig) {
     this.context = context;
-    this.service = service;
+    this.service = criteria.service();
+    this.versions = criteria.versions();
     this.maxColdRequestsPerSecond =
         serviceConfig.map(ServiceConfig::coldRequestsPerSecond).orElse(0.0)
                 * context.settings().coldFactor()
@@ -34,6 +37,7 @@
   boolean canProbe(BackendEntry entry) {
     boolean isWarm = !entry.stats().isCold(context.nowNs());
     return context.table().acceptsRequests(entry)
+        && versions.allows(entry.stats().instance().version())
         && (isWarm || canUseCold(entry))
         && (entry.stats().rateLimit().isEmpty() || canRequestPermit(entry));
   }
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/BackendSelection.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/BackendSelection.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.LongStream;
 import org.cowslipstair.edge.backend.BackendEntry;
@@ -15,8 +14,6 @@
 import org.cowslipstair.logic.placement.LatencyEstimate;
 import org.cowslipstair.logic.placement.PlacementRule;
 import org.cowslipstair.model.call.NotRunReason;
-import org.cowslipstair.model.config.BackendName;
-import org.cowslipstair.model.config.ServiceName;
 import org.cowslipstair.model.traffic.LoadReport;
 import org.cowslipstair.model.traffic.ServiceConfig;
 import org.jspecify.annotations.Nullable;
@@ -34,7 +31,7 @@
   private static final long ROUND_TIMEOUT_MS = 15;
 
   private final ExchangeContext context;
-  private final Criteria criteria;
+  private final SelectionCriteria criteria;
   private final Listener listener;
   private final PlacementRule rule;
   private final ProbeCandidates candidates;
@@ -46,13 +43,6 @@
   private int roundIndex;
   private boolean finished;
 
-  /**
-   * Requirements of the selection.
-   *
-   * @param excluded backend servers that must not be selected
-   */
-  record Criteria(ServiceName service, Set<BackendName> excluded, PlacementRule rule) {}
-
   /**
    * A selected backend server.
    *
@@ -95,14 +85,14 @@
     }
   }
 
-  BackendSelection(ExchangeContext context, Criteria criteria, Listener listener) {
+  BackendSelection(ExchangeContext context, SelectionCriteria criteria, Listener listener) {
     this.context = context;
     this.criteria = criteria;
     this.listener = listener;
     Optional<ServiceConfig> serviceConfig =
         context.table().state().plan().flatMap(plan -> plan.service(criteria.service()));
     this.healthPath = serviceConfig.map(ServiceConfig::healthPath).orElse("/");
-    this.eligibility = new BackendEligibility(context, criteria.service(), serviceConfig);
+    this.eligibility = new BackendEligibility(context, criteria, serviceConfig);
     this.rule = criteria.rule();
     this.candidates =
         new ProbeCandidates(
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
@@ -126,7 +126,10 @@
   private void selectBackend(String cause, boolean isHedge) {
     PlacementRule rule = timer.deadlines().placementRule(serviceTimeNs(), isHedge, context.nowNs());
     preparation.start(
-        new BackendSelection.Criteria(service, Set.copyOf(triedBackends), rule), cause, isHedge);
+        new SelectionCriteria(
+            service, Set.copyOf(triedBackends), rule, context.fleet().versions().choose(service)),
+        cause,
+        isHedge);
   }
 
   private final class PreparationListener implements SendPreparation.Listener {
@@ -175,7 +178,8 @@
     mayHaveRunCount++;
     triedBackends.add(entry.stats().instance().name());
     preparation.recordRoomAfterSend(selected);
-    Attempt attempt = new Attempt(context, entry, connection, this);
+    Attempt attempt =
+        new Attempt(context, entry, connection, context.recordSent(route, entry), this);
     activeAttempts.add(attempt);
     context.reportSent(message, selected, cause, timer.deadlines().finalNs());
     attempt.send(message, timer.deadlines().finalNs());
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
@@ -18,6 +18,7 @@
 import org.cowslipstair.edge.backend.RateLimitHeader;
 import org.cowslipstair.edge.permit.PermitService;
 import org.cowslipstair.edge.quarantine.QuarantineService;
+import org.cowslipstair.edge.rollout.VersionRouting;
 import org.cowslipstair.logic.budget.ColdSendLimiter;
 import org.cowslipstair.logic.budget.RetryBudget;
 import org.cowslipstair.logic.budget.WeightedServiceSelector;
@@ -91,6 +92,7 @@
       ColdSendLimiter coldAllowance,
       PermitService permits,
       QuarantineService quarantine,
+      VersionRouting versions,
       CandidateOrder order,
       List<AdmissionStep.Factory> admissionSteps,
       InvariantMonitor monitor) {}
@@ -222,6 +224,11 @@
         : Optional.of(NotRunReason.RATE_LIMITED);
   }
 
+  VersionRouting.Send recordSent(Route route, BackendEntry entry) {
+    double usualNs = serviceTimes.averageNs(route.name(), route.targetLatencyMs());
+    return fleet().versions().recordSent(route.name(), entry.stats().instance(), usualNs);
+  }
+
   void reportViolation(Invariant invariant, RequestMessage message, long observed) {
     String subject = message.requestId().orElse("");
     dependencies.fleet().monitor().recordViolation(new Violation(invariant, subject, observed, 0));
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/SendPreparation.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/SendPreparation.java
@@ -1,5 +1,6 @@
 package org.cowslipstair.edge.exchange;
 
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.cowslipstair.edge.backend.BackendEntry;
 import org.cowslipstair.edge.http.ServerConnection;
@@ -35,7 +36,7 @@
   }
 
   /** Starts the selection of a backend server. */
-  void start(BackendSelection.Criteria criteria, String cause, boolean isHedge) {
+  void start(SelectionCriteria criteria, String cause, boolean isHedge) {
     BackendSelection newSelection =
         new BackendSelection(
             context,
@@ -59,6 +60,11 @@
               public void onNoneSelected(
                   NotRunReason reason, OptionalLong newRoomInNs, String selectionDetail) {
                 selection = null;
+                Optional<SelectionCriteria> alternative = criteria.alternative();
+                if (alternative.isPresent()) {
+                  start(alternative.get(), cause, isHedge);
+                  return;
+                }
                 roomInNs = newRoomInNs;
                 detail = selectionDetail;
                 listener.onNoneSelected(reason, isHedge);
