--- a/edge/src/main/java/org/cowslipstair/edge/rollout/RolloutService.java
+++ b/edge/src/main/java/org/cowslipstair/edge/rollout/RolloutService.java
@@ -190,7 +190,7 @@
   /** Returns the first reachable gateway in the ranking of a service. */
   private String decider(ServiceName service) {
     for (String gateway :
-        ranking.ranked(new BackendName("rollout/" + service.value()), peers.gateways().get())) {
+        ranking.ranked(new BackendName(service.value()), peers.gateways().get())) {
       if (gateway.equals(peers.self()) || !peers.network().isUnreachable(gateway)) {
         return gateway;
       }
