--- a/lib/src/main/java/org/cowslipstair/logic/rollout/SequentialTest.java
+++ b/lib/src/main/java/org/cowslipstair/logic/rollout/SequentialTest.java
@@ -13,10 +13,13 @@
   /** Number of outcomes that the expected share is worth before the first outcome. */
   private static final double PRIOR_WEIGHT = 20;
 
+  /** Times after which an outcome of the other versions has lost most of its weight. */
+  private static final double[] MEMORIES_MS = {750, 3_000};
+
   private final double threshold;
+  private final double[] judged = new double[MEMORIES_MS.length];
+  private final double[] bad = new double[MEMORIES_MS.length];
   private double sum;
-  private double recentJudged;
-  private double recentBad;
 
   /**
    * Creates a test.
@@ -28,31 +31,38 @@
     this.threshold = Math.log(1 / errorRate);
   }
 
-  /** Reduces the weight of earlier outcomes of the other versions. */
-  void age(double factor) {
-    recentJudged *= factor;
-    recentBad *= factor;
-  }
-
-  /** Adds outcomes of the other versions. */
-  void recordOthers(long judged, long bad) {
-    recentJudged += judged;
-    recentBad += bad;
+  /**
+   * Adds outcomes of the other versions.
+   *
+   * @param elapsedMs time since the last call
+   */
+  void recordOthers(long newJudged, long newBad, long elapsedMs) {
+    for (int i = 0; i < MEMORIES_MS.length; i++) {
+      double factor = Math.exp(-elapsedMs / MEMORIES_MS[i]);
+      judged[i] = judged[i] * factor + newJudged;
+      bad[i] = bad[i] * factor + newBad;
+    }
   }
 
   /**
    * Returns the share of bad outcomes of the other versions, close to the expected one at first.
+   * The larger one of a short and a long time counts, since trouble that begins is soon in the
+   * short one, and trouble of a few outcomes stays in the long one.
    */
   double othersShare(double expectedShare) {
-    return (PRIOR_WEIGHT * expectedShare + recentBad) / (PRIOR_WEIGHT + recentJudged);
+    double share = 0;
+    for (int i = 0; i < MEMORIES_MS.length; i++) {
+      share = Math.max(share, (PRIOR_WEIGHT * expectedShare + bad[i]) / (PRIOR_WEIGHT + judged[i]));
+    }
+    return share;
   }
 
   /** Adds outcomes of the new version. */
-  void recordTarget(long judged, long bad, double othersShare) {
+  void recordTarget(long newJudged, long newBad, double othersShare) {
     double badShare = othersShare + (1 - othersShare) * MIN_EXCESS;
     double perBad = Math.log(badShare / othersShare);
     double perGood = Math.log((1 - badShare) / (1 - othersShare));
-    sum = Math.max(0, sum + bad * perBad + (judged - bad) * perGood);
+    sum = Math.max(0, sum + newBad * perBad + (newJudged - newBad) * perGood);
   }
 
   /** Returns whether the new version is bad. */
--- a/lib/src/main/java/org/cowslipstair/logic/rollout/VersionVerdict.java
+++ b/lib/src/main/java/org/cowslipstair/logic/rollout/VersionVerdict.java
@@ -11,18 +11,15 @@
  */
 public final class VersionVerdict {
   /** Probability of a wrong verdict in each test, see {@link SequentialTest}. */
-  private static final double FAILURE_ERROR_RATE = 0.0025;
+  private static final double FAILURE_ERROR_RATE = 0.001;
 
-  private static final double SLOW_ERROR_RATE = 0.000_5;
+  private static final double SLOW_ERROR_RATE = 0.000_2;
 
   /** Share of bad outcomes expected of a version of which nothing is known. */
   private static final double EXPECTED_FAILURES = 0.01;
 
   private static final double EXPECTED_SLOW = 0.03;
 
-  /** Time after which an outcome of the other versions has lost most of its weight. */
-  private static final double MEMORY_MS = 3_000;
-
   private static final String ALL_ROUTES = "";
 
   private final Map<String, Tests> tests = new HashMap<>();
@@ -48,11 +45,9 @@
       this(new SequentialTest(FAILURE_ERROR_RATE), new SequentialTest(SLOW_ERROR_RATE));
     }
 
-    void recordOthers(OutcomeCounts others, double ageFactor) {
-      failures.age(ageFactor);
-      slow.age(ageFactor);
-      failures.recordOthers(others.judged(), others.failed());
-      slow.recordOthers(others.judged() - others.failed(), others.slow());
+    void recordOthers(OutcomeCounts others, long elapsedMs) {
+      failures.recordOthers(others.judged(), others.failed(), elapsedMs);
+      slow.recordOthers(others.judged() - others.failed(), others.slow(), elapsedMs);
     }
   }
 
@@ -63,12 +58,11 @@
    * @param elapsedMs time since the last call
    */
   public void record(Map<String, RouteCounts> routes, long elapsedMs) {
-    double ageFactor = Math.exp(-elapsedMs / MEMORY_MS);
     Map<String, RouteCounts> withSum = new HashMap<>(routes);
     withSum.put(ALL_ROUTES, routes.values().stream().reduce(RouteCounts.none(), RouteCounts::plus));
     withSum.forEach(
         (route, counts) ->
-            testsOf(route).recordOthers(increment(route, counts).others(), ageFactor));
+            testsOf(route).recordOthers(increment(route, counts).others(), elapsedMs));
     Tests all = testsOf(ALL_ROUTES);
     double failureShare = all.failures.othersShare(EXPECTED_FAILURES);
     double slowShare = all.slow.othersShare(EXPECTED_SLOW);
