--- a/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
+++ b/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
@@ -224,7 +224,7 @@
   }
 
   private String stateJson() {
-    return new StateDump(stateCache, table, stateSync, permits, quarantine)
+    return new StateDump(stateCache, table, stateSync, permits, quarantine, rollouts)
         .json(settings, isReady(), callerContext.connectionCount(), components.clock().nowNs());
   }
 
--- a/edge/src/main/java/org/cowslipstair/edge/StateDump.java
+++ b/edge/src/main/java/org/cowslipstair/edge/StateDump.java
@@ -6,14 +6,18 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import org.cowslipstair.edge.backend.BackendEntry;
 import org.cowslipstair.edge.backend.BackendTable;
 import org.cowslipstair.edge.permit.PermitService;
 import org.cowslipstair.edge.quarantine.QuarantineService;
 import org.cowslipstair.edge.relay.StateSync;
+import org.cowslipstair.edge.rollout.RolloutService;
 import org.cowslipstair.logic.placement.BackendStats;
 import org.cowslipstair.logic.quarantine.SuspectRequest;
+import org.cowslipstair.logic.rollout.VersionShare;
 import org.cowslipstair.logic.traffic.TrafficStateCache;
+import org.cowslipstair.model.rollout.RolloutOrder;
 import org.cowslipstair.model.traffic.BackendInstance;
 import org.cowslipstair.model.traffic.GatewayEntry;
 import org.cowslipstair.port.ObjectFeed.Collection;
@@ -27,18 +31,21 @@
   private final StateSync sync;
   private final PermitService permits;
   private final QuarantineService quarantine;
+  private final Optional<RolloutService> rollouts;
 
   StateDump(
       TrafficStateCache stateCache,
       BackendTable table,
       StateSync sync,
       PermitService permits,
-      QuarantineService quarantine) {
+      QuarantineService quarantine,
+      Optional<RolloutService> rollouts) {
     this.stateCache = stateCache;
     this.table = table;
     this.sync = sync;
     this.permits = permits;
     this.quarantine = quarantine;
+    this.rollouts = rollouts;
   }
 
   /** Returns the state as JSON. Times are in milliseconds from now. */
@@ -74,9 +81,26 @@
     quarantine.suspects().stream()
         .sorted(Comparator.comparing(suspect -> suspect.fingerprint().hex()))
         .forEach(suspect -> suspects.add(suspect(suspect, nowNs)));
+    ArrayNode rolloutNodes = root.putArray("rollouts");
+    rollouts.map(RolloutService::summaries).orElse(List.of()).stream()
+        .map(StateDump::rollout)
+        .forEach(rolloutNodes::add);
     return root.toPrettyString();
   }
 
+  private static ObjectNode rollout(RolloutService.Summary summary) {
+    RolloutOrder order = summary.order();
+    ObjectNode node = JsonNodeFactory.instance.objectNode();
+    node.put("service", order.service().value())
+        .put("target", order.target().value())
+        .put("status", VersionShare.statusOf(order).map(Enum::name).orElse(""))
+        .put("decider", summary.decider())
+        .put("told", summary.directive().orElse(""))
+        .put("sentToTarget", summary.counts().target().sent())
+        .put("sentToOthers", summary.counts().others().sent());
+    return node;
+  }
+
   private ObjectNode suspect(SuspectRequest suspect, long nowNs) {
     ObjectNode node = JsonNodeFactory.instance.objectNode();
     node.put("fingerprint", suspect.fingerprint().hex())
--- a/edge/src/main/java/org/cowslipstair/edge/rollout/RolloutService.java
+++ b/edge/src/main/java/org/cowslipstair/edge/rollout/RolloutService.java
@@ -21,6 +21,7 @@
 import org.cowslipstair.logic.rollout.Directive;
 import org.cowslipstair.logic.rollout.RolloutDecider;
 import org.cowslipstair.logic.rollout.RolloutReport;
+import org.cowslipstair.logic.rollout.RouteCounts;
 import org.cowslipstair.logic.rollout.VersionChoice;
 import org.cowslipstair.model.config.BackendName;
 import org.cowslipstair.model.config.ServiceName;
@@ -311,7 +312,7 @@
                           order,
                           decider(order.service()),
                           entry.getValue().share().directive(nowNs).map(Object::toString),
-                          entry.getValue().sum().toString())));
+                          entry.getValue().sum())));
     }
     return summaries;
   }
@@ -323,7 +324,7 @@
    * @param counts outcomes of the sends of this gateway
    */
   public record Summary(
-      RolloutOrder order, String decider, Optional<String> directive, String counts) {}
+      RolloutOrder order, String decider, Optional<String> directive, RouteCounts counts) {}
 
   /** Registers what an operator sees of rollouts beside the state dump. */
   public void registerGauges(GatewayMetrics metrics) {
--- a/edge/src/test/java/org/cowslipstair/edge/GatewayFixture.java
+++ b/edge/src/test/java/org/cowslipstair/edge/GatewayFixture.java
@@ -41,7 +41,6 @@
 import org.cowslipstair.model.traffic.WeightedService;
 import org.cowslipstair.port.MonotonicClock;
 import org.cowslipstair.port.ObjectFeed;
-import org.cowslipstair.port.StoreException;
 
 /** Gateways on the loopback interface with scripted backend servers on raw sockets. */
 final class GatewayFixture implements AutoCloseable {
@@ -72,6 +71,7 @@
   final FrontGateway gateway;
   private final List<GatewayEntry> gatewayEntries = new ArrayList<>();
   private final boolean hasConfiguration;
+  private final Optional<FakeRolloutStore> rolloutStore;
   private final MultiThreadIoEventLoopGroup group;
 
   GatewayFixture(int backendCount) throws IOException, InterruptedException {
@@ -85,7 +85,7 @@
    */
   GatewayFixture(int backendCount, double probesPerSecond)
       throws IOException, InterruptedException {
-    this(backendCount, 1, 0, probesPerSecond, true, _ -> {});
+    this(backendCount, 1, 0, probesPerSecond, true, Optional.empty(), _ -> {});
     awaitReady();
   }
 
@@ -104,7 +104,29 @@
       throws IOException, InterruptedException {
     GatewayFixture fixture =
         new GatewayFixture(
-            backendCount, gatewayCount, absentCount, UNLIMITED_PROBES_PER_SECOND, true, _ -> {});
+            backendCount,
+            gatewayCount,
+            absentCount,
+            UNLIMITED_PROBES_PER_SECOND,
+            true,
+            Optional.empty(),
+            _ -> {});
+    fixture.awaitReady();
+    return fixture;
+  }
+
+  /** Starts a fleet that carries out the rollouts of a store and waits until all are ready. */
+  static GatewayFixture fleet(int gatewayCount, int backendCount, FakeRolloutStore rolloutStore)
+      throws IOException, InterruptedException {
+    GatewayFixture fixture =
+        new GatewayFixture(
+            backendCount,
+            gatewayCount,
+            0,
+            UNLIMITED_PROBES_PER_SECOND,
+            true,
+            Optional.of(rolloutStore),
+            _ -> {});
     fixture.awaitReady();
     return fixture;
   }
@@ -130,7 +152,7 @@
   GatewayFixture(
       int backendCount, double probesPerSecond, boolean hasConfiguration, IntConsumer onListening)
       throws IOException, InterruptedException {
-    this(backendCount, 1, 0, probesPerSecond, hasConfiguration, onListening);
+    this(backendCount, 1, 0, probesPerSecond, hasConfiguration, Optional.empty(), onListening);
   }
 
   /**
@@ -138,6 +160,7 @@
    *
    * @param absentCount number of other gateways that they know
    * @param hasConfiguration whether the store has a configuration
+   * @param rolloutStore rollouts of the store; without it, the fleet carries out none
    * @param onListening receives each port for callers before connections are accepted
    */
   private GatewayFixture(
@@ -146,9 +169,11 @@
       int absentCount,
       double probesPerSecond,
       boolean hasConfiguration,
+      Optional<FakeRolloutStore> rolloutStore,
       IntConsumer onListening)
       throws IOException, InterruptedException {
     this.hasConfiguration = hasConfiguration;
+    this.rolloutStore = rolloutStore;
     this.group =
         new MultiThreadIoEventLoopGroup(gatewayCount + absentCount, NioIoHandler.newFactory());
     for (int i = 0; i < backendCount; i++) {
@@ -190,7 +215,8 @@
             1.5,
             5,
             new FrontSettings.FleetLimits(probesPerSecond, 3_000, 400L << 20, 50),
-            FrontSettings.FleetPolicies.none());
+            new FrontSettings.FleetPolicies(
+                Optional.empty(), rolloutStore.map(FakeRolloutStore::policy)));
     EventLoop loop = group.next();
     loops.add(loop);
     ServerSocketChannel socket = CallerServer.bind(new HostPort("127.0.0.1", 0));
@@ -295,25 +321,41 @@
                 gatewayEntries.stream()
                     .map(entry -> new Item(entry.name(), 1, new Content.Gateway(entry)))
                     .toList();
-            case ZONES_OUT, ROLLOUTS -> List.of();
+            case ZONES_OUT -> List.of();
+            case ROLLOUTS -> rolloutStore.map(FakeRolloutStore::items).orElse(List.of());
           };
-      return Single.just(new Page(items, false, new StorePosition(0, 1)));
+      return Single.just(new Page(items, false, position()));
+    }
+
+    private StorePosition position() {
+      return rolloutStore.map(FakeRolloutStore::position).orElse(new StorePosition(0, 1));
     }
 
     private Content instance(ScriptedBackend backend) {
       return new Content.Backend(
           new BackendInstance(
-              new BackendName(backend.id), SERVICE, backend.address(), ZONE, 3, false, 0, 1, 1));
+              new BackendName(backend.id),
+              SERVICE,
+              backend.address(),
+              ZONE,
+              3,
+              false,
+              0,
+              1,
+              1,
+              rolloutStore.map(store -> store.version(backend.id))));
     }
 
     @Override
     public Single<Changes> watch(Collection collection, long revision, long waitMs) {
-      return Single.never();
+      return collection == Collection.ROLLOUTS && rolloutStore.isPresent()
+          ? rolloutStore.get().watch(revision)
+          : Single.never();
     }
 
     @Override
     public Single<Item> recordStatus(RolloutOrder order, RolloutStatus status) {
-      return Single.error(new StoreException.Unavailable("record a status", "no rollouts"));
+      return rolloutStore.orElseThrow().recordStatus(order, status);
     }
 
     @Override
