--- a/edge/src/main/java/org/cowslipstair/edge/rollout/RolloutCodec.java
+++ b/edge/src/main/java/org/cowslipstair/edge/rollout/RolloutCodec.java
@@ -17,7 +17,7 @@
 /** Encodes messages about rollouts as MessagePack. */
 final class RolloutCodec {
   /** Number of routes in a report; those beyond are counted together. */
-  static final int MAX_ROUTES = 40;
+  static final int MAX_ROUTES = 30;
 
   /** Name under which further routes are counted. */
   static final String FURTHER_ROUTES = "(further)";
@@ -29,6 +29,7 @@
   private static final int ONLY_TARGET = 2;
   private static final int ONLY_OTHERS = 3;
   private static final long MAX_AGE_MS = 30 * 86_400_000L;
+  private static final long MAX_COUNT = 1L << 50;
   private static final int MAX_NAME_LENGTH = 48;
 
   private RolloutCodec() {}
@@ -139,7 +140,7 @@
 
   private static long unpackCount(MessageUnpacker unpacker) throws IOException {
     long count = unpacker.unpackLong();
-    if (count < 0 || count > Integer.MAX_VALUE) {
+    if (count < 0 || count > MAX_COUNT) {
       throw new MalformedRolloutMessageException("count " + count);
     }
     return count;
--- a/edge/src/test/java/org/cowslipstair/edge/relay/RelayCodecTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/relay/RelayCodecTest.java
@@ -17,6 +17,8 @@
 import org.cowslipstair.model.config.HostPort;
 import org.cowslipstair.model.config.ServiceName;
 import org.cowslipstair.model.config.ZoneName;
+import org.cowslipstair.model.rollout.RolloutOrder;
+import org.cowslipstair.model.rollout.RolloutStatus;
 import org.cowslipstair.model.rollout.ServiceVersion;
 import org.cowslipstair.model.tenant.KeyDigest;
 import org.cowslipstair.model.tenant.Quota;
@@ -101,6 +103,29 @@
     assertThat(roundTrip(proof), is(proof));
   }
 
+  @Test
+  void ordersOfRolloutsRoundTrip() throws RelayException {
+    ServiceVersion target = new ServiceVersion("v2");
+    ServiceName service = new ServiceName("s");
+    RolloutOrder fresh = new RolloutOrder("a", 5, service, target, 12_000, Optional.empty());
+    RolloutOrder ended =
+        new RolloutOrder(
+            "b",
+            6,
+            service,
+            target,
+            12_000,
+            Optional.of(new RolloutStatus(RolloutStatus.State.ROLLED_BACK, target)));
+    RelayMessage sent =
+        new RelayMessage.Snapshot(
+            Collection.ROLLOUTS,
+            new StorePosition(0, 7),
+            List.of(
+                new Item("a", 5, new Content.Rollout(fresh)),
+                new Item("b", 6, new Content.Rollout(ended))));
+    assertThat(roundTrip(sent), is(sent));
+  }
+
   @Test
   void configurationRoundTrips() throws RelayException {
     Route route =
--- a/lib/src/main/java/org/cowslipstair/logic/rollout/ExposurePlan.java
+++ b/lib/src/main/java/org/cowslipstair/logic/rollout/ExposurePlan.java
@@ -13,6 +13,12 @@
   /** Part of the further requests that one decider uses, since there may be two for a moment. */
   private static final double SLACK_PART = 0.5;
 
+  /** Share of the time after which the rate of requests counts as known. */
+  private static final double RATE_KNOWN_SHARE = 0.15;
+
+  /** Factor by which the rate of requests may rise before the next step. */
+  private static final double RATE_MARGIN = 1.5;
+
   /** Share of the time after which the new version gets more than the unasked share. */
   private static final double WIDENING_SHARE = 0.6;
 
@@ -83,7 +89,10 @@
             + SLACK_PART * policy.canarySlackRequests()
             - sum.target().sent();
     double wanted = mayWiden(ageMs) ? widened(ageMs) : shareToBeJudged(ageMs, sum, perMs);
-    double affordable = left / (perMs * (stepEndMs(ageMs) - ageMs + lagMs));
+    if (ageMs < RATE_KNOWN_SHARE * durationMs) {
+      return unasked;
+    }
+    double affordable = left / (RATE_MARGIN * perMs * (stepEndMs(ageMs) - ageMs + lagMs));
     return Math.clamp(Math.min(wanted, affordable), unasked, 1);
   }
 
--- a/lib/src/test/java/org/cowslipstair/logic/rollout/RolloutDeciderTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/rollout/RolloutDeciderTest.java
@@ -142,6 +142,18 @@
     assertThat(widest, lessThan(POLICY.canaryShare()));
   }
 
+  /** The first requests come some time after the order; their rate says nothing yet. */
+  @Test
+  void firstRequestsDoNotWidenTheShare() {
+    requestsPerSecond = 0;
+    run(500, good());
+    requestsPerSecond = 400;
+    while (ageMs < 2_000) {
+      tick(good());
+      assertThat(shareOf(decider.directive()), lessThan(POLICY.canaryShare()));
+    }
+  }
+
   @Test
   void findingIsToldToAllGatewaysAtOnce() {
     List<RolloutDecider.Action> actions = List.of();
