--- a/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
+++ b/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
@@ -286,6 +286,9 @@
       LOG.warnf(
           "store: %s \"%s\" cannot be read: %s", fault.collection(), fault.name(), fault.reason());
     }
+    if (rollouts.filter(r -> !r.maySend(stateCache.revision(Collection.ROLLOUTS))).isPresent()) {
+      return;
+    }
     TrafficState state = stateCache.state(components.clock().nowNs());
     logNewConfiguration(state);
     table.update(state);
--- a/edge/src/main/java/org/cowslipstair/edge/rollout/Decision.java
+++ b/edge/src/main/java/org/cowslipstair/edge/rollout/Decision.java
@@ -1,6 +1,6 @@
 package org.cowslipstair.edge.rollout;
 
-import java.util.Optional;
+import java.util.List;
 import org.cowslipstair.logic.rollout.Directive;
 import org.cowslipstair.logic.rollout.FleetCounts;
 import org.cowslipstair.logic.rollout.RolloutDecider;
@@ -8,11 +8,18 @@
 import org.cowslipstair.logic.rollout.VersionShare;
 import org.cowslipstair.model.rollout.RolloutOrder;
 import org.cowslipstair.model.rollout.RolloutPolicy;
-import org.cowslipstair.model.rollout.RolloutStatus;
 import org.cowslipstair.model.rollout.ServiceVersion;
 
 /** One order that this gateway decides, with the reports about it and the order as last read. */
 final class Decision {
+  /** Number of intervals for which a report says what its gateway does now. */
+  private static final long RECENT_INTERVALS = 4;
+
+  /** Number of intervals from a send to a directive that takes it into account. */
+  private static final long LAG_INTERVALS = 2;
+
+  private static final long NS_PER_MS = 1_000_000L;
+
   private final RolloutDecider decider;
   private final FleetCounts counts = new FleetCounts();
   private final ServiceVersion target;
@@ -45,20 +52,30 @@
     return order;
   }
 
-  RolloutDecider decider() {
-    return decider;
-  }
-
-  FleetCounts counts() {
-    return counts;
-  }
-
   Directive directive() {
     return decider.directive();
   }
 
-  Optional<RolloutStatus.State> recorded() {
-    return VersionShare.statusOf(order);
+  /**
+   * Decides by the reports so far.
+   *
+   * @param gateways names of all known gateways
+   * @param reachable those of them that have not been found unreachable
+   * @param intervalMs time between two reports of a gateway
+   */
+  List<RolloutDecider.Action> step(
+      List<String> gateways, List<String> reachable, long intervalMs, long nowNs) {
+    long recentNs = RECENT_INTERVALS * intervalMs * NS_PER_MS;
+    return decider.step(
+        new RolloutDecider.Input(
+            nowNs,
+            counts.ageMs(nowNs),
+            LAG_INTERVALS * intervalMs,
+            counts.hasTarget(),
+            counts.hasMajority(gateways, nowNs, recentNs),
+            counts.isDrained(reachable, nowNs, recentNs),
+            counts.routes(),
+            VersionShare.statusOf(order)));
   }
 
   void onReport(RolloutReport report, long nowNs) {
--- a/edge/src/main/java/org/cowslipstair/edge/rollout/RolloutService.java
+++ b/edge/src/main/java/org/cowslipstair/edge/rollout/RolloutService.java
@@ -59,6 +59,7 @@
   private static final long ABANDONED_INTERVALS = 10;
 
   private static final long WRITE_RETRY_MS = 300;
+  private static final long MAX_ORDERS_WAIT_MS = 3_000;
 
   private final Peers peers;
   private final EventLoop loop;
@@ -68,6 +69,7 @@
   private final RolloutPolicy policy;
   private final ObjectFeed feed;
   private final long boot;
+  private final long startedNs;
   private final GatewayRanking ranking = new GatewayRanking();
   private final Map<ServiceName, LocalRollout> rollouts = new HashMap<>();
   private final Map<ServiceName, Decision> decisions = new HashMap<>();
@@ -91,9 +93,20 @@
     this.policy = policy;
     this.feed = components.feed();
     this.boot = random.nextLong();
+    this.startedNs = clock.nowNs();
     peers.network().register(this);
   }
 
+  /**
+   * Returns whether requests may be served: once the orders have been read, or after a while
+   * without them, since gateways of an earlier release do not relay them.
+   *
+   * @param ordersRevision revision up to which the orders have been read; 0 if they have not been
+   */
+  public boolean maySend(long ordersRevision) {
+    return ordersRevision > 0 || clock.nowNs() - startedNs > MAX_ORDERS_WAIT_MS * NS_PER_MS;
+  }
+
   /** Applies what the store tells of orders and backend servers. */
   public void update(List<Item> items, List<BackendInstance> backends) {
     long nowNs = clock.nowNs();
@@ -188,13 +201,17 @@
         .ifPresent(link -> link.send(RolloutCodec.encode(new RolloutMessage.Report(report)), true));
   }
 
-  /** Returns the first reachable gateway in the ranking of a service. */
+  /**
+   * Returns the first reachable gateway in the ranking of a service. Those before it are tried
+   * again, so that all gateways agree on the decider once they reach it.
+   */
   private String decider(ServiceName service) {
     for (String gateway :
         ranking.ranked(new BackendName(service.value()), peers.gateways().get())) {
       if (gateway.equals(peers.self()) || !peers.network().isUnreachable(gateway)) {
         return gateway;
       }
+      peers.network().open(gateway);
     }
     return peers.self();
   }
@@ -224,26 +241,16 @@
   private void decide(long nowNs) {
     long maxSilenceNs = ABANDONED_INTERVALS * intervalMs() * NS_PER_MS;
     decisions.values().removeIf(d -> d.isReplaced() || d.isAbandoned(nowNs, maxSilenceNs));
+    List<String> gateways = peers.gateways().get();
+    List<String> reachable = new ArrayList<>(gateways);
+    reachable.removeIf(peers.network()::isUnreachable);
     for (Decision decision : List.copyOf(decisions.values())) {
-      RolloutDecider.Input input =
-          new RolloutDecider.Input(
-              nowNs,
-              decision.counts().ageMs(nowNs),
-              2 * intervalMs(),
-              decision.counts().hasTarget(),
-              isDrained(decision, nowNs),
-              decision.counts().routes(),
-              decision.recorded());
-      decision.decider().step(input).forEach(action -> perform(decision, action, nowNs));
+      decision
+          .step(gateways, reachable, intervalMs(), nowNs)
+          .forEach(action -> perform(decision, action, nowNs));
     }
   }
 
-  private boolean isDrained(Decision decision, long nowNs) {
-    List<String> reachable = new ArrayList<>(peers.gateways().get());
-    reachable.removeIf(peers.network()::isUnreachable);
-    return decision.counts().isDrained(reachable, nowNs, 3 * intervalMs() * NS_PER_MS);
-  }
-
   private void perform(Decision decision, RolloutDecider.Action action, long nowNs) {
     switch (action) {
       case RolloutDecider.Action.Record(RolloutStatus.State state) ->
--- a/lib/src/main/java/org/cowslipstair/logic/rollout/ExposurePlan.java
+++ b/lib/src/main/java/org/cowslipstair/logic/rollout/ExposurePlan.java
@@ -54,6 +54,11 @@
     return UNASKED_PART * policy.canaryShare();
   }
 
+  /** Returns the share that gateways send without being told. */
+  public double unaskedShare() {
+    return unaskedShare(policy);
+  }
+
   /** Returns whether the new version may get wider shares. */
   public boolean mayWiden(long ageMs) {
     return ageMs >= WIDENING_SHARE * durationMs;
@@ -82,7 +87,7 @@
    * @param lagMs time for which gateways may follow a share after the last count that is known
    */
   public double share(long ageMs, RouteCounts sum, long lagMs) {
-    double unasked = unaskedShare(policy);
+    double unasked = unaskedShare();
     double perMs = Math.max(sum.sent(), 1.0) / Math.max(ageMs, 1);
     double left =
         policy.canaryShare() * sum.sent()
--- a/lib/src/main/java/org/cowslipstair/logic/rollout/FleetCounts.java
+++ b/lib/src/main/java/org/cowslipstair/logic/rollout/FleetCounts.java
@@ -64,6 +64,18 @@
     return true;
   }
 
+  /**
+   * Returns whether more than half of the gateways have reported lately. Without that, another
+   * gateway may decide the same order from other reports.
+   */
+  public boolean hasMajority(Collection<String> gateways, long nowNs, long maxAgeNs) {
+    long reporting =
+        gateways.stream()
+            .filter(gateway -> lastOf(gateway).filter(r -> nowNs - r.atNs < maxAgeNs).isPresent())
+            .count();
+    return 2 * reporting > gateways.size();
+  }
+
   private Optional<Received> lastOf(String gateway) {
     Received last = null;
     for (Map.Entry<Process, Received> entry : reports.entrySet()) {
--- a/lib/src/main/java/org/cowslipstair/logic/rollout/RolloutDecider.java
+++ b/lib/src/main/java/org/cowslipstair/logic/rollout/RolloutDecider.java
@@ -50,6 +50,7 @@
    *
    * @param ageMs longest time for which any gateway has known the order
    * @param lagMs time for which gateways may follow a directive after the last count that is known
+   * @param hasMajority whether more than half of the fleet reports to this decider
    * @param isDrained whether no request runs on another version
    * @param recorded status in the store
    */
@@ -58,6 +59,7 @@
       long ageMs,
       long lagMs,
       boolean hasTarget,
+      boolean hasMajority,
       boolean isDrained,
       Map<String, RouteCounts> routes,
       Optional<RolloutStatus.State> recorded) {
@@ -141,6 +143,9 @@
     if (plan.isOver(input.ageMs()) && !isJudged) {
       return new State.Ended(RolloutStatus.State.ROLLED_BACK);
     }
+    if (!input.hasMajority()) {
+      return new State.Exposing(plan.unaskedShare());
+    }
     if (state instanceof State.Committing) {
       return input.isDrained() || plan.isDrainOver(input.ageMs())
           ? new State.Ended(RolloutStatus.State.DONE)
--- a/lib/src/test/java/org/cowslipstair/logic/rollout/RolloutDeciderTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/rollout/RolloutDeciderTest.java
@@ -36,6 +36,7 @@
   private boolean isStoreAway;
   private boolean isDrained = true;
   private boolean hasTarget = true;
+  private boolean hasMajority = true;
 
   /** Share of failures of the new version at a time and a share of the sends. */
   @FunctionalInterface
@@ -70,6 +71,7 @@
                 ageMs,
                 LAG_MS,
                 hasTarget,
+                hasMajority,
                 isDrained,
                 Map.of("pages", counts),
                 recorded));
@@ -186,6 +188,24 @@
     assertThat(recorded, equalTo(Optional.of(RolloutStatus.State.DONE)));
   }
 
+  /** A gateway that is cut off with a few others decides nothing that costs more than its share. */
+  @Test
+  void withoutAMajorityTheShareStaysAndNothingIsDone() {
+    hasMajority = false;
+    while (ageMs < DURATION_MS - TICK_MS) {
+      tick(good());
+      assertThat(shareOf(decider.directive()), lessThan(POLICY.canaryShare()));
+    }
+    assertThat(recorded, equalTo(Optional.of(RolloutStatus.State.RUNNING)));
+  }
+
+  @Test
+  void findingNeedsNoMajority() {
+    hasMajority = false;
+    run(DURATION_MS / 2, (_, _) -> 0.5);
+    assertThat(recorded, equalTo(Optional.of(RolloutStatus.State.ROLLED_BACK)));
+  }
+
   @Test
   void versionThatNoServerRunsIsRolledBackAtTheEnd() {
     hasTarget = false;
