--- a/edge/src/main/java/org/cowslipstair/edge/quota/QuotaCodec.java
+++ b/edge/src/main/java/org/cowslipstair/edge/quota/QuotaCodec.java
@@ -114,11 +114,16 @@
     }
     switch (decision.get()) {
       case QuotaIssuer.Decision.Granted _ -> packer.packInt(GRANTED);
-      case QuotaIssuer.Decision.Denied(long availableInNs, long spacingNs, boolean isOverQuota) ->
+      case QuotaIssuer.Decision.Denied(
+              long availableInNs,
+              long spacingNs,
+              long pauseNs,
+              boolean isOverQuota) ->
           packer
               .packInt(DENIED)
               .packLong(availableInNs)
               .packLong(spacingNs)
+              .packLong(pauseNs)
               .packBoolean(isOverQuota);
     }
   }
@@ -134,6 +139,7 @@
       case DENIED ->
           Optional.of(
               new QuotaIssuer.Decision.Denied(
+                  Math.clamp(unpacker.unpackLong(), 0, MAX_WAIT_NS),
                   Math.clamp(unpacker.unpackLong(), 0, MAX_WAIT_NS),
                   Math.clamp(unpacker.unpackLong(), 0, MAX_WAIT_NS),
                   unpacker.unpackBoolean()));
--- a/edge/src/main/java/org/cowslipstair/edge/quota/QuotaService.java
+++ b/edge/src/main/java/org/cowslipstair/edge/quota/QuotaService.java
@@ -50,6 +50,7 @@
   private final DenialMemory denials = new DenialMemory();
   private final QuotaRequests requests;
   private boolean isStarted;
+  private boolean isRenewing;
   private long forwardedCount;
   private long refusedCount;
 
@@ -81,7 +82,7 @@
     QuotaCoordinator coordinator =
         QuotaCoordinator.create(
             settings.name(),
-            components.random().nextLong(),
+            components.random(),
             settings.relay().firstStart(),
             components.monitor(),
             components.clock().nowNs());
@@ -131,7 +132,7 @@
   private long renewAndReconnect() {
     if (limits.hasQuotas()) {
       long nowNs = clock.nowNs();
-      coordinator.skipped(gateways.get(), network::isUnreachable, nowNs).forEach(network::open);
+      coordinator.toReach(gateways.get(), network::isUnreachable, nowNs).forEach(network::open);
       renew();
     }
     return RENEWAL_INTERVAL_MS;
@@ -333,8 +334,17 @@
     metrics.registerGauge("quota.refused", () -> refusedCount);
   }
 
+  /** Turns to the next gateway at once, since this one's share is of no use meanwhile. */
   private void onSilence(String gateway) {
     coordinator.recordSilence(gateway, clock.nowNs());
+    if (!isRenewing) {
+      isRenewing = true;
+      loop.execute(
+          () -> {
+            isRenewing = false;
+            renew();
+          });
+    }
   }
 
   /** Returns what is known about quotas here. */
--- a/lib/src/main/java/org/cowslipstair/logic/quota/DenialMemory.java
+++ b/lib/src/main/java/org/cowslipstair/logic/quota/DenialMemory.java
@@ -9,10 +9,7 @@
  * costs no messages, and lets callers return one after the other. Not thread-safe.
  */
 public final class DenialMemory {
-  /** Share of the time between two permits of one gateway after which it asks again. */
-  private static final double ASKING_SHARE = 0.25;
-
-  private static final long MIN_PAUSE_NS = 50_000_000L;
+  private static final long MIN_PAUSE_NS = 5_000_000L;
   private static final long MAX_PAUSE_NS = 1_000_000_000L;
 
   /** Maximum time between the first and the last caller that are told to return. */
@@ -44,10 +41,8 @@
       entries.values().removeIf(entry -> nowNs - entry.pausedUntilNs >= 0);
     }
     Entry entry = entries.computeIfAbsent(tenant, _ -> newEntry(denied, nowNs));
-    long pauseNs =
-        Math.clamp((long) (denied.spacingNs() * ASKING_SHARE), MIN_PAUSE_NS, MAX_PAUSE_NS);
-    entry.pausedUntilNs =
-        nowNs + Math.clamp(denied.availableInNs(), pauseNs, Math.max(pauseNs, MAX_PAUSE_NS));
+    long pauseNs = Math.clamp(denied.pauseNs(), MIN_PAUSE_NS, MAX_PAUSE_NS);
+    entry.pausedUntilNs = nowNs + Math.clamp(denied.availableInNs(), pauseNs, MAX_PAUSE_NS);
     entry.availableNs = nowNs + denied.availableInNs();
     entry.spacingNs = denied.spacingNs();
     entry.isOverQuota = denied.isOverQuota();
--- a/lib/src/main/java/org/cowslipstair/logic/quota/QuotaBucket.java
+++ b/lib/src/main/java/org/cowslipstair/logic/quota/QuotaBucket.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.random.RandomGenerator;
 
 /**
  * Permits of one tenant at one issuer: a token bucket that fills and holds as much as the shares
@@ -13,6 +14,7 @@
 
   private final Deque<Long> issuedNs = new ArrayDeque<>();
   private double tokens;
+  private double capacity;
   private double earnedShareNs;
   private double advancedShare;
   private QuotaBounds bounds;
@@ -28,17 +30,28 @@
     double advanced = shares.advancedShare() - advancedShare;
     earnedShareNs += earned;
     advancedShare += advanced;
-    double rate = bounds.quota().requestsPerSecond();
+    double rate = bounds.permitsPerSecond();
     tokens += rate * earned / NS_PER_SECOND + advanceSize * advanced;
-    tokens = Math.min(tokens, bounds.depth() * shares.attachedShare(nowNs));
+    capacity = Math.max(bounds.depth(), bounds.advance()) * shares.attachedShare(nowNs);
+    tokens = Math.min(tokens, capacity);
     while (!issuedNs.isEmpty() && nowNs - issuedNs.getFirst() > bounds.windowNs()) {
       issuedNs.removeFirst();
     }
   }
 
-  /** Issues a permit if there is one. */
-  boolean tryTake(long nowNs) {
-    if (tokens < 1 || issuedInWindow() >= bounds.maxInWindow()) {
+  /**
+   * Issues a permit if there is one. A bucket that holds less than one permit issues one with the
+   * probability of what it holds, else many small parts of a fleet would issue nothing.
+   */
+  boolean tryTake(RandomGenerator random, long nowNs) {
+    if (issuedInWindow() >= bounds.maxInWindow()) {
+      return false;
+    }
+    if (capacity < 1 && tokens > 0 && random.nextDouble() >= tokens) {
+      tokens = 0;
+      return false;
+    }
+    if (tokens < 1 && (capacity >= 1 || tokens <= 0)) {
       return false;
     }
     tokens--;
@@ -58,7 +71,7 @@
     if (issuedInWindow() >= bounds.maxInWindow() && !issuedNs.isEmpty()) {
       return issuedNs.getFirst() + bounds.windowNs() - nowNs;
     }
-    double rate = bounds.quota().requestsPerSecond() * lentShare;
+    double rate = bounds.permitsPerSecond() * lentShare;
     return rate <= 0
         ? bounds.windowNs()
         : (long) Math.min(bounds.windowNs(), Math.max(0, 1 - tokens) / rate * NS_PER_SECOND);
--- a/lib/src/main/java/org/cowslipstair/logic/quota/QuotaCoordinator.java
+++ b/lib/src/main/java/org/cowslipstair/logic/quota/QuotaCoordinator.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
 import org.cowslipstair.logic.budget.GatewayRanking;
 import org.cowslipstair.logic.invariant.InvariantMonitor;
 import org.cowslipstair.model.tenant.TenantName;
@@ -27,6 +28,9 @@
   /** Age of the latest reply above which a loan is renewed. */
   private static final long RENEWAL_AGE_NS = 200_000_000L;
 
+  /** Number of gateways that one without a loan connects to at once. */
+  private static final int FIRST_CONTACTS = 16;
+
   private final String self;
   private final QuotaIssuer issuer;
   private final ShareLender lender;
@@ -60,15 +64,18 @@
   /**
    * Creates a coordinator of a process that has neither lent nor issued anything.
    *
-   * @param random random number; the number of the process follows from it and the name
    * @param firstStart whether the whole fleet starts for the first time
    */
   public static QuotaCoordinator create(
-      String self, long random, boolean firstStart, InvariantMonitor monitor, long nowNs) {
+      String self,
+      RandomGenerator random,
+      boolean firstStart,
+      InvariantMonitor monitor,
+      long nowNs) {
     // A fleet may share a seed, and 0 stands for an unknown process.
-    long id = (random ^ Hashing.murmur3_128().hashString(self, UTF_8).asLong()) | 1;
+    long id = (random.nextLong() ^ Hashing.murmur3_128().hashString(self, UTF_8).asLong()) | 1;
     return new QuotaCoordinator(
-        self, new QuotaIssuer(id, firstStart, monitor, nowNs), new ShareLender(nowNs));
+        self, new QuotaIssuer(id, firstStart, monitor, random, nowNs), new ShareLender(nowNs));
   }
 
   /** Returns the issuer part of this gateway. */
@@ -108,6 +115,21 @@
     return lentTo.isPresent() ? lentTo : preferred(gateways, isUnreachable, nowNs);
   }
 
+  /**
+   * Returns the gateways to connect to, so that it is known soon which of them respond: those that
+   * rank before the preferred one, and further ones while the own share is not lent.
+   */
+  public List<String> toReach(
+      Collection<String> gateways, Predicate<String> isUnreachable, long nowNs) {
+    List<String> skipped = skipped(gateways, isUnreachable, nowNs);
+    return lender.lentTo(nowNs).isPresent()
+        ? skipped
+        : ranking.ranked(SUBJECT, gateways).stream()
+            .filter(gateway -> !gateway.equals(self))
+            .limit(Math.max(skipped.size(), FIRST_CONTACTS))
+            .toList();
+  }
+
   /** Returns the gateways that rank before the preferred one. */
   public List<String> skipped(
       Collection<String> gateways, Predicate<String> isUnreachable, long nowNs) {
--- a/lib/src/main/java/org/cowslipstair/logic/quota/QuotaIssuer.java
+++ b/lib/src/main/java/org/cowslipstair/logic/quota/QuotaIssuer.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.random.RandomGenerator;
 import org.cowslipstair.logic.invariant.Invariant;
 import org.cowslipstair.logic.invariant.InvariantMonitor;
 import org.cowslipstair.model.tenant.TenantName;
@@ -21,12 +22,19 @@
   /** Share of the fleet above which a denial shows that the tenant exceeds its quota. */
   private static final double MIN_REPRESENTATIVE_SHARE = 0.5;
 
+  /**
+   * Minimum time between two requests of one gateway for permits of a tenant that exceeds its
+   * quota, for each gateway of the fleet. Longer pauses would favour callers of other gateways.
+   */
+  private static final long ASKING_PAUSE_NS = 500_000;
+
   private static final double NS_PER_SECOND = 1e9;
 
   private final long id;
   private final boolean firstStart;
   private final long startNs;
   private final InvariantMonitor monitor;
+  private final RandomGenerator random;
   private final LentShares shares;
   private final Map<TenantName, QuotaBucket> buckets = new HashMap<>();
   private long grantedCount;
@@ -42,10 +50,12 @@
      *
      * @param availableInNs time until the next permit is available
      * @param spacingNs time in which each gateway can get one permit
+     * @param pauseNs minimum time until the same gateway asks again
      * @param isOverQuota whether the tenant exceeds its quota; otherwise this gateway reaches too
      *     few others to know
      */
-    record Denied(long availableInNs, long spacingNs, boolean isOverQuota) implements Decision {}
+    record Denied(long availableInNs, long spacingNs, long pauseNs, boolean isOverQuota)
+        implements Decision {}
   }
 
   /**
@@ -70,11 +80,13 @@
    * @param firstStart whether the whole fleet starts for the first time, so that nothing has been
    *     issued
    */
-  public QuotaIssuer(long id, boolean firstStart, InvariantMonitor monitor, long nowNs) {
+  public QuotaIssuer(
+      long id, boolean firstStart, InvariantMonitor monitor, RandomGenerator random, long nowNs) {
     this.id = id;
     this.firstStart = firstStart;
     this.startNs = nowNs;
     this.monitor = monitor;
+    this.random = random;
     this.shares = new LentShares(nowNs);
   }
 
@@ -112,7 +124,7 @@
   /** Issues a permit if the quota allows it now. */
   public Decision tryIssue(TenantName tenant, QuotaBounds bounds, long nowNs) {
     QuotaBucket bucket = bucket(tenant, bounds, nowNs);
-    if (bucket.tryTake(nowNs)) {
+    if (bucket.tryTake(random, nowNs)) {
       monitor.checkAtMost(
           Invariant.TENANT_QUOTA, tenant.value(), bucket.issuedInWindow(), bounds.maxInWindow());
       grantedCount++;
@@ -120,10 +132,11 @@
     }
     deniedCount++;
     double lentShare = shares.lentShare(nowNs);
-    double spacingNs = shares.fleetSize() / bounds.quota().requestsPerSecond() * NS_PER_SECOND;
+    double spacingNs = shares.fleetSize() / bounds.permitsPerSecond() * NS_PER_SECOND;
     return new Decision.Denied(
         bucket.availableInNs(lentShare, nowNs),
         (long) Math.min(bounds.windowNs(), spacingNs),
+        shares.fleetSize() * ASKING_PAUSE_NS,
         lentShare > MIN_REPRESENTATIVE_SHARE);
   }
 
