--- a/edge/src/main/java/org/cowslipstair/edge/quota/QuotaService.java
+++ b/edge/src/main/java/org/cowslipstair/edge/quota/QuotaService.java
@@ -14,6 +14,7 @@
 import org.cowslipstair.logic.quota.QuotaCoordinator;
 import org.cowslipstair.logic.quota.QuotaIssuer;
 import org.cowslipstair.logic.quota.ShareOffer;
+import org.cowslipstair.logic.quota.StartAllowance;
 import org.cowslipstair.model.tenant.Quota;
 import org.cowslipstair.model.tenant.QuotaPolicy;
 import org.cowslipstair.model.tenant.TenantName;
@@ -49,6 +50,7 @@
   private final QuotaLog log;
   private final DenialMemory denials = new DenialMemory();
   private final QuotaRequests requests;
+  private final StartAllowance startAllowance;
   private boolean isStarted;
   private boolean isRenewing;
   private long forwardedCount;
@@ -56,8 +58,12 @@
 
   /** Receives the result of a request for a permit; exactly one method is called, once. */
   interface Listener {
-    /** One request may run. */
-    void onGranted();
+    /**
+     * One request may run.
+     *
+     * @param isIssued whether an issuer counts the request, so that it can be given back
+     */
+    void onGranted(boolean isIssued);
 
     /**
      * No permit is available.
@@ -91,6 +97,7 @@
         components.loop(),
         components.clock(),
         coordinator,
+        new StartAllowance(settings.relay().firstStart(), components.clock().nowNs()),
         limits,
         gateways,
         network);
@@ -101,6 +108,7 @@
       EventLoop loop,
       MonotonicClock clock,
       QuotaCoordinator coordinator,
+      StartAllowance startAllowance,
       QuotaLimits limits,
       Supplier<List<String>> gateways,
       PeerNetwork network) {
@@ -111,6 +119,7 @@
     this.limits = limits;
     this.gateways = gateways;
     this.network = network;
+    this.startAllowance = startAllowance;
     this.log = new QuotaLog(coordinator.issuer());
     this.requests = new QuotaRequests(self, loop, network, this::onSilence);
     network.register(this);
@@ -207,7 +216,7 @@
     Optional<String> issuer =
         coordinator.issuerToAsk(gateways.get(), network::isUnreachable, nowNs);
     if (issuer.isEmpty()) {
-      denyWithoutIssuer(listener);
+      denyWithoutIssuer(wanted.tenant(), listener);
       return;
     }
     if (issuer.get().equals(self)) {
@@ -238,7 +247,7 @@
           if ((reply.isEmpty() || isDenied && isFirstContact) && attempts > 1) {
             acquire(wanted, attempts - 1, replyNs, listener);
           } else if (reply.isEmpty()) {
-            denyWithoutIssuer(listener);
+            denyWithoutIssuer(wanted.tenant(), listener);
           } else {
             conclude(wanted.tenant(), reply.get(), listener);
           }
@@ -248,7 +257,7 @@
   /** A reply without a decision means that the tenant has no quota any more. */
   private void conclude(TenantName tenant, QuotaCoordinator.Reply reply, Listener listener) {
     switch (reply.decision().orElseGet(QuotaIssuer.Decision.Granted::new)) {
-      case QuotaIssuer.Decision.Granted _ -> listener.onGranted();
+      case QuotaIssuer.Decision.Granted _ -> listener.onGranted(true);
       case QuotaIssuer.Decision.Denied denied -> {
         denials.record(tenant, denied, clock.nowNs());
         deny(tenant, listener);
@@ -257,12 +266,20 @@
   }
 
   private void deny(TenantName tenant, Listener listener) {
-    refusedCount++;
     DenialMemory.Denial denial = denials.next(tenant, clock.nowNs());
-    listener.onDenied(denial.returnInNs(), denial.isOverQuota());
+    if (denial.isOverQuota()) {
+      refusedCount++;
+      listener.onDenied(denial.returnInNs(), true);
+    } else {
+      denyWithoutIssuer(tenant, listener);
+    }
   }
 
-  private void denyWithoutIssuer(Listener listener) {
+  private void denyWithoutIssuer(TenantName tenant, Listener listener) {
+    if (startAllowance.tryTake(tenant, clock.nowNs())) {
+      listener.onGranted(false);
+      return;
+    }
     refusedCount++;
     listener.onDenied(NO_ISSUER_RETURN_NS, false);
   }
--- a/edge/src/main/java/org/cowslipstair/edge/quota/QuotaStep.java
+++ b/edge/src/main/java/org/cowslipstair/edge/quota/QuotaStep.java
@@ -58,12 +58,12 @@
         waitNs,
         new QuotaService.Listener() {
           @Override
-          public void onGranted() {
+          public void onGranted(boolean isIssued) {
+            isGranted = isIssued;
             if (isEnded) {
-              service.giveBack(tenant);
+              giveBack();
               return;
             }
-            isGranted = true;
             listener.onAdmitted();
           }
 
@@ -79,7 +79,14 @@
   @Override
   public void onEnded(Ending ending) {
     isEnded = true;
-    if (isGranted && ending == Ending.NOT_RUN) {
+    if (ending == Ending.NOT_RUN) {
+      giveBack();
+    }
+  }
+
+  private void giveBack() {
+    if (isGranted) {
+      isGranted = false;
       service.giveBack(tenant);
     }
   }
--- a/lib/src/main/java/org/cowslipstair/logic/quota/QuotaBounds.java
+++ b/lib/src/main/java/org/cowslipstair/logic/quota/QuotaBounds.java
@@ -10,8 +10,8 @@
  * rest is left for gateways that count the fleet differently.
  */
 public record QuotaBounds(Quota quota, QuotaPolicy policy) {
-  private static final double RATE_SHARE = 0.3;
-  private static final double DEPTH_SHARE = 0.25;
+  private static final double RATE_SHARE = 0.25;
+  private static final double DEPTH_SHARE = 0.2;
   private static final double ADVANCE_SHARE = 0.15;
   private static final long NS_PER_MS = 1_000_000L;
   private static final double MS_PER_SECOND = 1e3;
--- a/lib/src/test/java/org/cowslipstair/logic/quota/QuotaIssuerTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/quota/QuotaIssuerTest.java
@@ -133,4 +133,13 @@
     assertThat(denials.next(TENANT, START_NS).returnInNs(), is(500 * MS));
     assertThat(denials.next(TENANT, START_NS + 100 * MS).returnInNs(), is(600 * MS));
   }
+
+  @Test
+  void gatewayMayRunOneRequestOfEachTenantRightAfterItsStart() {
+    StartAllowance allowance = new StartAllowance(false, START_NS);
+    assertThat(allowance.tryTake(TENANT, START_NS), is(true));
+    assertThat(allowance.tryTake(TENANT, START_NS + SECOND_NS), is(false));
+    assertThat(allowance.tryTake(new TenantName("u"), START_NS + SECOND_NS), is(true));
+    assertThat(allowance.tryTake(new TenantName("v"), START_NS + 5 * SECOND_NS), is(false));
+  }
 }
--- a/lib/src/test/java/org/cowslipstair/logic/quota/SimulatedQuotaFleet.java
+++ b/lib/src/test/java/org/cowslipstair/logic/quota/SimulatedQuotaFleet.java
@@ -49,6 +49,7 @@
     final List<String> view;
     final QuotaCoordinator coordinator;
     final DenialMemory denials = new DenialMemory();
+    final StartAllowance startAllowance;
     final Set<String> unreachable = new HashSet<>();
     long frozenUntilNs;
     boolean isGone;
@@ -56,6 +57,7 @@
     Gateway(String name, List<String> view, boolean firstStart) {
       this.name = name;
       this.view = view;
+      this.startAllowance = new StartAllowance(firstStart, nowNs);
       this.coordinator =
           new QuotaCoordinator(
               name,
@@ -127,12 +129,12 @@
 
     void acquire(int attempts, long sentNs) {
       if (denials.isPaused(TENANT, nowNs)) {
-        refusedCount++;
+        refuse(denials.next(TENANT, nowNs).isOverQuota(), sentNs);
         return;
       }
       Optional<String> issuer = coordinator.issuerToAsk(view, unreachable::contains, nowNs);
       if (issuer.isEmpty()) {
-        refusedCount++;
+        refuse(false, sentNs);
         return;
       }
       QuotaBounds own = bounds.apply(name);
@@ -155,7 +157,7 @@
             if ((reply.isEmpty() || isDenied && isFirstContact) && attempts > 1) {
               acquire(attempts - 1, sentNs);
             } else if (reply.isEmpty()) {
-              refusedCount++;
+              refuse(false, sentNs);
             } else {
               conclude(reply.get(), sentNs);
             }
@@ -167,11 +169,19 @@
         case QuotaIssuer.Decision.Granted _ -> runs.add(new Run(sentNs, nowNs));
         case QuotaIssuer.Decision.Denied denied -> {
           denials.record(TENANT, denied, nowNs);
-          refusedCount++;
+          refuse(denied.isOverQuota(), sentNs);
         }
       }
     }
 
+    private void refuse(boolean isOverQuota, long sentNs) {
+      if (!isOverQuota && startAllowance.tryTake(TENANT, nowNs)) {
+        runs.add(new Run(sentNs, nowNs));
+      } else {
+        refusedCount++;
+      }
+    }
+
     private void send(
         String to,
         ShareOffer offer,
