--- a/edge/src/main/java/org/cowslipstair/edge/quota/QuotaRequests.java
+++ b/edge/src/main/java/org/cowslipstair/edge/quota/QuotaRequests.java
@@ -17,6 +17,7 @@
   private final String self;
   private final EventLoop loop;
   private final PeerNetwork network;
+  private final long silenceNs;
   private final Consumer<String> onSilence;
   private final Map<Long, Pending> pendingRequests = new HashMap<>();
   private long lastId;
@@ -25,17 +26,25 @@
   private record Pending(
       String gateway,
       Consumer<Optional<QuotaCoordinator.Reply>> onReply,
+      boolean provesSilence,
       ScheduledFuture<?> timeoutTimer) {}
 
   /**
    * Creates a sender without requests.
    *
+   * @param silenceNs time without a reply after which a gateway is silent
    * @param onSilence receives the gateways that cannot be reached or do not reply in time
    */
-  QuotaRequests(String self, EventLoop loop, PeerNetwork network, Consumer<String> onSilence) {
+  QuotaRequests(
+      String self,
+      EventLoop loop,
+      PeerNetwork network,
+      long silenceNs,
+      Consumer<String> onSilence) {
     this.self = self;
     this.loop = loop;
     this.network = network;
+    this.silenceNs = silenceNs;
     this.onSilence = onSilence;
   }
 
@@ -60,7 +69,7 @@
     long id = lastId;
     ScheduledFuture<?> timeoutTimer =
         loop.schedule(() -> onTimeout(id), replyNs, TimeUnit.NANOSECONDS);
-    pendingRequests.put(id, new Pending(gateway, onReply, timeoutTimer));
+    pendingRequests.put(id, new Pending(gateway, onReply, replyNs >= silenceNs, timeoutTimer));
     QuotaMessage request = new QuotaMessage.Request(id, self, offer, wanted);
     link.get().send(QuotaCodec.encode(request), true);
   }
@@ -69,7 +78,9 @@
     Pending pending = pendingRequests.remove(id);
     if (pending != null) {
       unansweredCount++;
-      onSilence.accept(pending.gateway);
+      if (pending.provesSilence) {
+        onSilence.accept(pending.gateway);
+      }
       pending.onReply.accept(Optional.empty());
     }
   }
--- a/edge/src/main/java/org/cowslipstair/edge/quota/QuotaService.java
+++ b/edge/src/main/java/org/cowslipstair/edge/quota/QuotaService.java
@@ -32,10 +32,11 @@
   /** Minimum and maximum time in which a reply is awaited. */
   private static final long MIN_REPLY_NS = 50_000_000L;
 
-  private static final long MAX_REPLY_NS = 200_000_000L;
+  /** A gateway that takes longer counts as silent; one that has just started may need this long. */
+  private static final long MAX_REPLY_NS = 400_000_000L;
 
-  /** Number of requests for one permit; after a time without a reply another gateway is asked. */
-  private static final int MAX_ATTEMPTS = 3;
+  /** Number of requests for one permit; the first one to an issuer cannot bring a share yet. */
+  private static final int MAX_ATTEMPTS = 2;
 
   /** Time after which a caller should return if no issuer responds. */
   private static final long NO_ISSUER_RETURN_NS = 500_000_000L;
@@ -121,7 +122,7 @@
     this.network = network;
     this.startAllowance = startAllowance;
     this.log = new QuotaLog(coordinator.issuer());
-    this.requests = new QuotaRequests(self, loop, network, this::onSilence);
+    this.requests = new QuotaRequests(self, loop, network, MAX_REPLY_NS, this::onSilence);
     network.register(this);
   }
 
@@ -202,7 +203,7 @@
    * @param waitNs time that the request may wait for the permit
    */
   void acquire(TenantName tenant, Quota quota, long waitNs, Listener listener) {
-    long replyNs = Math.clamp(waitNs / 2, MIN_REPLY_NS, MAX_REPLY_NS);
+    long replyNs = Math.clamp(waitNs, MIN_REPLY_NS, MAX_REPLY_NS);
     QuotaMessage.Wanted wanted = new QuotaMessage.Wanted(tenant, quota, limits.planVersion());
     acquire(wanted, MAX_ATTEMPTS, replyNs, listener);
   }
@@ -244,7 +245,7 @@
           boolean isDenied =
               reply.flatMap(QuotaCoordinator.Reply::decision).orElse(null)
                   instanceof QuotaIssuer.Decision.Denied;
-          if ((reply.isEmpty() || isDenied && isFirstContact) && attempts > 1) {
+          if (isDenied && isFirstContact && attempts > 1) {
             acquire(wanted, attempts - 1, replyNs, listener);
           } else if (reply.isEmpty()) {
             denyWithoutIssuer(wanted.tenant(), listener);
