--- a/edge/src/main/java/org/cowslipstair/edge/quota/QuotaService.java
+++ b/edge/src/main/java/org/cowslipstair/edge/quota/QuotaService.java
@@ -27,7 +27,7 @@
  */
 public final class QuotaService implements PeerNetwork.Service {
   /** Time between two messages by which this gateway lends its share. */
-  private static final long RENEWAL_INTERVAL_MS = 300;
+  private static final long RENEWAL_INTERVAL_MS = 200;
 
   /** Minimum and maximum time in which a reply is awaited. */
   private static final long MIN_REPLY_NS = 50_000_000L;
--- a/lib/src/main/java/org/cowslipstair/logic/quota/QuotaCoordinator.java
+++ b/lib/src/main/java/org/cowslipstair/logic/quota/QuotaCoordinator.java
@@ -26,7 +26,7 @@
   private static final long SILENCE_NS = 500_000_000L;
 
   /** Age of the latest reply above which a loan is renewed. */
-  private static final long RENEWAL_AGE_NS = 200_000_000L;
+  private static final long RENEWAL_AGE_NS = 150_000_000L;
 
   /** Number of gateways that one without a loan connects to at once. */
   private static final int FIRST_CONTACTS = 16;
--- a/lib/src/main/java/org/cowslipstair/logic/quota/QuotaIssuer.java
+++ b/lib/src/main/java/org/cowslipstair/logic/quota/QuotaIssuer.java
@@ -28,6 +28,12 @@
    */
   private static final long ASKING_PAUSE_NS = 500_000;
 
+  /**
+   * Share of the permits that callers who return after a denial may count on. If they took all, new
+   * requests would be denied for them.
+   */
+  private static final double RETURN_SHARE = 0.25;
+
   private static final double NS_PER_SECOND = 1e9;
 
   private final long id;
@@ -49,7 +55,7 @@
      * No permit is available.
      *
      * @param availableInNs time until the next permit is available
-     * @param spacingNs time in which each gateway can get one permit
+     * @param spacingNs time between two callers that a gateway tells to return
      * @param pauseNs minimum time until the same gateway asks again
      * @param isOverQuota whether the tenant exceeds its quota; otherwise this gateway reaches too
      *     few others to know
@@ -132,7 +138,8 @@
     }
     deniedCount++;
     double lentShare = shares.lentShare(nowNs);
-    double spacingNs = shares.fleetSize() / bounds.permitsPerSecond() * NS_PER_SECOND;
+    double spacingNs =
+        shares.fleetSize() / (RETURN_SHARE * bounds.permitsPerSecond()) * NS_PER_SECOND;
     return new Decision.Denied(
         bucket.availableInNs(lentShare, nowNs),
         (long) Math.min(bounds.windowNs(), spacingNs),
--- a/lib/src/main/java/org/cowslipstair/logic/quota/ShareLender.java
+++ b/lib/src/main/java/org/cowslipstair/logic/quota/ShareLender.java
@@ -12,7 +12,7 @@
  */
 public final class ShareLender {
   /** Time after the stamp of an issuer for which it may use the share. */
-  public static final long LOAN_NS = 1_000_000_000L;
+  public static final long LOAN_NS = 700_000_000L;
 
   private static final int MAX_STAMPS = 64;
 
--- a/lib/src/test/java/org/cowslipstair/logic/quota/SimulatedQuotaFleet.java
+++ b/lib/src/test/java/org/cowslipstair/logic/quota/SimulatedQuotaFleet.java
@@ -25,7 +25,7 @@
   private static final long MAX_DELAY_NS = 2 * NS_PER_MS;
   private static final long TIMEOUT_NS = 400 * NS_PER_MS;
   private static final long UNREACHABLE_NS = 400 * NS_PER_MS;
-  private static final long TICK_NS = 300 * NS_PER_MS;
+  private static final long TICK_NS = 200 * NS_PER_MS;
   private static final TenantName TENANT = new TenantName("t");
 
   final List<Run> runs = new ArrayList<>();
