--- a/edge/src/test/java/org/cowslipstair/edge/GatewayFixture.java
+++ b/edge/src/test/java/org/cowslipstair/edge/GatewayFixture.java
@@ -256,6 +256,7 @@
         List.of(new ServiceConfig(SERVICE, "/healthz", 100, 5)),
         List.of(
             route("safe", RequestKind.SAFE, LONG_TIMEOUT_MS),
+            route("download", RequestKind.DOWNLOAD, LONG_TIMEOUT_MS),
             route("unsafe", RequestKind.UNSAFE, LONG_TIMEOUT_MS),
             route("upload", RequestKind.UPLOAD, LONG_TIMEOUT_MS),
             route("short", RequestKind.UNSAFE, SHORT_TIMEOUT_MS)));
