--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Attempt.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Attempt.java
@@ -18,22 +18,27 @@
 import org.cowslipstair.edge.http.ServerBytesException;
 import org.cowslipstair.edge.http.ServerConnection;
 import org.cowslipstair.model.call.MayHaveRunReason;
+import org.cowslipstair.model.traffic.RequestKind;
 import org.jspecify.annotations.Nullable;
 
 /**
  * One send of a request to one backend server. Buffers the response up to a limit and streams it
- * beyond that.
+ * beyond that, a successful response to a download earlier than others.
  */
 final class Attempt implements ResponseListener {
   /** Responses up to this size are forwarded only when they are complete. */
   private static final int MAX_BUFFERED_BYTES = 256 * 1024;
 
+  /** Same for downloads: their transfer to the caller overlaps that from the server. */
+  private static final int MAX_BUFFERED_DOWNLOAD_BYTES = 64 * 1024;
+
   private static final long NS_PER_MS = 1_000_000L;
 
   private final ExchangeContext context;
   private final BackendEntry entry;
   private final ServerConnection connection;
   private final Listener listener;
+  private final RequestKind kind;
   private final long sentNs;
   private final BodyBuffer body = new BodyBuffer();
   private @Nullable HttpResponse head;
@@ -76,8 +81,13 @@
   }
 
   Attempt(
-      ExchangeContext context, BackendEntry entry, ServerConnection connection, Listener listener) {
+      ExchangeContext context,
+      BackendEntry entry,
+      ServerConnection connection,
+      RequestKind kind,
+      Listener listener) {
     this.context = context;
+    this.kind = kind;
     this.entry = entry;
     this.connection = connection;
     this.listener = listener;
@@ -158,11 +168,17 @@
       return;
     }
     body.add(part);
-    if (body.size() > MAX_BUFFERED_BYTES) {
+    if (body.size() > maxBufferedBytes(responseHead)) {
       startStreaming(responseHead);
     }
   }
 
+  private int maxBufferedBytes(HttpResponse responseHead) {
+    return kind == RequestKind.DOWNLOAD && isSignedSuccess(responseHead)
+        ? MAX_BUFFERED_DOWNLOAD_BYTES
+        : MAX_BUFFERED_BYTES;
+  }
+
   private void startStreaming(HttpResponse responseHead) {
     if (!isSignedSuccess(responseHead)) {
       connection.cancel();
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
@@ -22,6 +22,7 @@
 import org.cowslipstair.model.call.NotRunReason;
 import org.cowslipstair.model.config.BackendName;
 import org.cowslipstair.model.config.ServiceName;
+import org.cowslipstair.model.traffic.RequestKind;
 import org.cowslipstair.model.traffic.Route;
 import org.jspecify.annotations.Nullable;
 
@@ -175,7 +176,7 @@
     mayHaveRunCount++;
     triedBackends.add(entry.stats().instance().name());
     preparation.recordRoomAfterSend(selected);
-    Attempt attempt = new Attempt(context, entry, connection, this);
+    Attempt attempt = new Attempt(context, entry, connection, route.kind(), this);
     activeAttempts.add(attempt);
     context.reportSent(message, selected, cause, timer.deadlines().finalNs());
     attempt.send(message, timer.deadlines().finalNs());
@@ -270,12 +271,16 @@
       return;
     }
     if (head.status().codeClass() == HttpStatusClass.SUCCESS) {
-      long durationNs = context.nowNs() - attempt.sentNs();
-      context.serviceTimes().record(route.name(), route.targetLatencyMs(), durationNs);
+      recordServiceTime(attempt);
     }
     forwardResponse(response);
   }
 
+  private void recordServiceTime(Attempt attempt) {
+    long durationNs = context.nowNs() - attempt.sentNs();
+    context.serviceTimes().record(route.name(), route.targetLatencyMs(), durationNs);
+  }
+
   private void forwardResponse(Attempt.Result.CompleteResponse response) {
     long missingBytes = AttemptResults.missingBytes(response);
     if (missingBytes != 0) {
@@ -371,6 +376,9 @@
       return false;
     }
     streamedAttempt = attempt;
+    if (route.kind() == RequestKind.DOWNLOAD) {
+      recordServiceTime(attempt); // The rest depends on how fast the caller reads.
+    }
     activeAttempts.remove(attempt);
     activeAttempts.forEach(Attempt::cancel);
     activeAttempts.clear();
