--- a/edge/src/main/java/org/cowslipstair/edge/relay/RelaySubscriptions.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/RelaySubscriptions.java
@@ -6,6 +6,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.cowslipstair.edge.FrontSettings;
 import org.cowslipstair.logic.relay.WatcherSelector;
 import org.cowslipstair.model.config.HostPort;
@@ -28,6 +30,9 @@
    */
   private static final long STEADY_PROOF_NS = 3_000_000_000L;
 
+  /** Time in which a seed sends its state, before the next one is asked. */
+  private static final long SEED_INTERVAL_MS = 200;
+
   /** Time after which the links to the seeds are closed; the fleet is known by then. */
   private static final long SEED_LINK_LIFETIME_NS = 4_000_000_000L;
 
@@ -44,6 +49,8 @@
   private final WatcherSelector watcherSelector;
   private final Map<String, RelayLink> links = new HashMap<>();
   private final List<RelayLink> seedLinks = new ArrayList<>();
+  private int triedSeeds;
+  private int askedSeeds;
   private final Map<String, Long> connectingSinceNs = new HashMap<>();
   private final long startedNs;
   private boolean fresh;
@@ -60,16 +67,34 @@
     this.startedNs = clock.nowNs();
   }
 
-  /** Subscribes to the seeds, so that a state is available even while the store is unreachable. */
-  void openSeeds() {
-    for (HostPort seed : settings.relay().seedAddresses()) {
-      if (!seed.equals(settings.relay().address())) {
-        GatewayEntry seedEntry = new GatewayEntry(seed.toString(), settings.zone(), seed);
-        RelayLink link = new RelayLink(seedEntry, clock, listener);
-        seedLinks.add(link);
-        link.open(loop);
-      }
+  /**
+   * Subscribes to one seed after the other until the state is complete, so that there is one even
+   * while the store is unreachable. Each seed sends its whole state; gateways begin with different
+   * ones.
+   */
+  void openSeeds(BooleanSupplier isComplete) {
+    List<HostPort> seeds = settings.relay().seedAddresses();
+    if (isComplete.getAsBoolean() || triedSeeds == seeds.size()) {
+      return;
+    }
+    int index = Math.floorMod(settings.name().hashCode() + triedSeeds, seeds.size());
+    HostPort seed = seeds.get(index);
+    triedSeeds++;
+    if (seed.equals(settings.relay().address())) {
+      openSeeds(isComplete);
+      return;
     }
+    GatewayEntry seedEntry = new GatewayEntry(seed.toString(), settings.zone(), seed);
+    RelayLink link = new RelayLink(seedEntry, clock, listener);
+    seedLinks.add(link);
+    askedSeeds++;
+    link.open(loop);
+    loop.schedule(() -> openSeeds(isComplete), SEED_INTERVAL_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Returns the number of seeds subscribed to so far. */
+  int askedSeeds() {
+    return askedSeeds;
   }
 
   /**
--- a/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
@@ -129,7 +129,7 @@
             new HostPort(settings.relay().address().host(), port));
     loop.execute(
         () -> {
-          subscriptions.openSeeds();
+          subscriptions.openSeeds(stateCache::isComplete);
           directory.start(self);
           RepeatedTask.start(loop, "relay", this::check);
           if (!settings.relay().firstStart()) {
@@ -169,6 +169,11 @@
         : OptionalLong.of((components.clock().nowNs() - asOfNs.getAsLong()) / NS_PER_MS);
   }
 
+  /** Returns the number of seeds that this gateway has subscribed to. */
+  int askedSeeds() {
+    return subscriptions.askedSeeds();
+  }
+
   /** Returns the number of gateways subscribed to this one. */
   public int subscriberCount() {
     return server.subscribers();
--- a/edge/src/test/java/org/cowslipstair/edge/relay/StateSyncTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/relay/StateSyncTest.java
@@ -63,6 +63,9 @@
     assertThat(condition.getAsBoolean(), is(true));
   }
 
+  /** Longer than it takes to ask three seeds. */
+  private static final long SEED_INTERVALS_MS = 700;
+
   private Node startNode(String name, List<HostPort> seeds) throws InterruptedException {
     Node node = new Node(name, seeds);
     nodes.add(node);
@@ -187,6 +190,35 @@
     await(() -> newGateway.version() == 1);
   }
 
+  /** Each seed would send its whole state, also over the links between zones. */
+  @Test
+  void newGatewayAsksOneSeedIfThatHasTheState() throws InterruptedException {
+    startFleet();
+    List<HostPort> seeds = nodes.stream().map(node -> relayAddress(node.name)).toList();
+    storeUnreachable = true;
+    Node newGateway = startNode("g-9", seeds);
+    await(() -> newGateway.version() == 1);
+    TimeUnit.MILLISECONDS.sleep(SEED_INTERVALS_MS);
+    assertThat(newGateway.sync.askedSeeds(), is(1));
+  }
+
+  @Test
+  void newGatewayAsksTheNextSeedIfOneIsGone() throws InterruptedException {
+    Node first = startNode("g-1", List.of());
+    await(() -> first.version() == 1);
+    storeUnreachable = true;
+    HostPort gone = new HostPort("127.0.0.1", 1);
+    HostPort left = relayAddress("g-1");
+    for (List<HostPort> seeds : List.of(List.of(gone, left, gone), List.of(left, gone, gone))) {
+      Node newGateway = startNode("g-" + seeds.indexOf(left), seeds);
+      await(() -> newGateway.version() == 1);
+    }
+  }
+
+  private HostPort relayAddress(String name) {
+    return announced.get(name).relayAddress();
+  }
+
   /** State synchronization of one gateway, with its own feed. */
   private final class Node {
     final String name;
@@ -195,6 +227,7 @@
     private final TrafficStateCache stateCache = new TrafficStateCache(InvariantMonitor.failing());
     private final MultiThreadIoEventLoopGroup group =
         new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final StateSync sync;
     private volatile long version;
     private volatile boolean silent;
 
@@ -222,7 +255,7 @@
               new Feed(),
               new ProtocolHeaders("a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k"),
               InvariantMonitor.failing());
-      StateSync sync =
+      sync =
           new StateSync(
               settings,
               components,
