--- a/edge/src/test/java/org/cowslipstair/edge/DownloadTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/DownloadTest.java
@@ -114,6 +114,32 @@
     assertThat(received(), is(1));
   }
 
+  @Test
+  void firstOfTwoSendsToGetFarEndsTheOther() throws Exception {
+    fixture.earnHedge();
+    CountDownLatch bothSent = new CountDownLatch(2);
+    CountDownLatch ended = new CountDownLatch(1);
+    AtomicInteger sends = new AtomicInteger();
+    script(
+        (request, socket) -> {
+          boolean isFirst = sends.getAndIncrement() == 0;
+          bothSent.countDown();
+          bothSent.await();
+          if (isFirst) {
+            // The gateway closes the connection.
+            socket.getInputStream().read();
+            ended.countDown();
+          } else {
+            ScriptedBackend.write(socket, whole(request).substring(0, LONG_PART_BYTES));
+            ended.await();
+            ScriptedBackend.write(socket, whole(request).substring(LONG_PART_BYTES));
+          }
+        });
+    RawClient.Response response = client.send(RawClient.get("/hedged/x", "one"));
+    assertThat(response.body().length(), is(BODY_BYTES));
+    assertThat(response.complete(), is(true));
+  }
+
   @Test
   void longFailureIsHeld() throws IOException {
     script(
--- a/edge/src/test/java/org/cowslipstair/edge/GatewayFixture.java
+++ b/edge/src/test/java/org/cowslipstair/edge/GatewayFixture.java
@@ -57,6 +57,8 @@
           "X-Tenant");
   static final long SHORT_TIMEOUT_MS = 1_500;
   static final long LONG_TIMEOUT_MS = 20_000;
+  private static final int REQUESTS_FOR_A_HEDGE = 400;
+  private static final long SHORT_TARGET_MS = 1_000;
   static final double UNLIMITED_PROBES_PER_SECOND = 10_000;
   private static final ServiceName SERVICE = new ServiceName("s");
   private static final ZoneName ZONE = new ZoneName("z");
@@ -236,6 +238,16 @@
     }
   }
 
+  /** A gateway that has just started allows no hedge before its requests have earned one. */
+  void earnHedge() throws IOException {
+    try (RawClient client = client()) {
+      for (int i = 0; i < REQUESTS_FOR_A_HEDGE; i++) {
+        client.send(RawClient.get("/safe/x", "first-" + i));
+      }
+    }
+    backends.forEach(backend -> backend.receivedRequests.clear());
+  }
+
   RawClient client() throws IOException {
     return new RawClient(gateway.callerPort());
   }
@@ -256,6 +268,7 @@
         List.of(new ServiceConfig(SERVICE, "/healthz", 100, 5)),
         List.of(
             route("safe", RequestKind.SAFE, LONG_TIMEOUT_MS),
+            route("hedged", RequestKind.DOWNLOAD, LONG_TIMEOUT_MS, SHORT_TARGET_MS),
             route("download", RequestKind.DOWNLOAD, LONG_TIMEOUT_MS),
             route("unsafe", RequestKind.UNSAFE, LONG_TIMEOUT_MS),
             route("upload", RequestKind.UPLOAD, LONG_TIMEOUT_MS),
@@ -264,13 +277,17 @@
 
   private static Route route(String name, RequestKind kind, long timeoutMs) {
     // The target latency is long, so that a slow test machine causes no hedge.
+    return route(name, kind, timeoutMs, LONG_TIMEOUT_MS);
+  }
+
+  private static Route route(String name, RequestKind kind, long timeoutMs, long targetMs) {
     return new Route(
         name,
         "a.example",
         "/" + name + "/",
         kind,
         timeoutMs,
-        LONG_TIMEOUT_MS,
+        targetMs,
         0,
         2,
         List.of(new WeightedService(SERVICE, 1)));
--- a/edge/src/test/java/org/cowslipstair/edge/UnframedResponseTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/UnframedResponseTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -96,6 +97,51 @@
     assertThat(received(), is(1));
   }
 
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void resetOfOneOfTwoSendsLeavesTheOther(boolean isFirstReset) throws IOException {
+    fixture.earnHedge();
+    CountDownLatch bothSent = new CountDownLatch(2);
+    CountDownLatch reset = new CountDownLatch(1);
+    AtomicInteger sends = new AtomicInteger();
+    script(
+        (request, socket) -> {
+          boolean isReset = (sends.getAndIncrement() == 0) == isFirstReset;
+          bothSent.countDown();
+          bothSent.await();
+          if (isReset) {
+            ScriptedBackend.write(socket, unframed(request, PART));
+            End.RESET.run(socket);
+            reset.countDown();
+          } else {
+            reset.await();
+            // Lets the reset arrive.
+            TimeUnit.MILLISECONDS.sleep(50);
+            ScriptedBackend.write(socket, unframed(request, "whole"));
+            socket.close();
+          }
+        });
+    assertThat(client.send(RawClient.get("/hedged/x", "one")).body(), is("whole"));
+    assertThat(received(), is(2));
+  }
+
+  @Test
+  void resetOfBothSendsIsAFailure() throws IOException {
+    fixture.earnHedge();
+    CountDownLatch bothSent = new CountDownLatch(2);
+    script(
+        (request, socket) -> {
+          bothSent.countDown();
+          bothSent.await();
+          ScriptedBackend.write(socket, unframed(request, PART));
+          End.RESET.run(socket);
+        });
+    RawClient.Response response = client.send(RawClient.get("/hedged/x", "one"));
+    assertThat(response.status(), is(BAD_GATEWAY));
+    assertThat(response.header("X-Proof"), is(""));
+    assertThat(received(), is(2));
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"safe", "download"})
   void streamedResponseIsCompleteOnlyAtItsEnd(String route) throws IOException {
