--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
@@ -1,7 +1,6 @@
 package org.cowslipstair.edge.exchange;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -22,6 +21,7 @@
 import org.cowslipstair.model.call.NotRunReason;
 import org.cowslipstair.model.config.BackendName;
 import org.cowslipstair.model.config.ServiceName;
+import org.cowslipstair.model.traffic.RequestKind;
 import org.cowslipstair.model.traffic.Route;
 import org.jspecify.annotations.Nullable;
 
@@ -179,7 +179,8 @@
     triedBackends.add(entry.stats().instance().name());
     preparation.recordRoomAfterSend(selected);
     Attempt attempt =
-        new Attempt(context, entry, connection, context.recordSent(route, entry), this);
+        new Attempt(
+            context, entry, connection, route.kind(), context.recordSent(route, entry), this);
     activeAttempts.add(attempt);
     context.reportSent(message, selected, cause, timer.deadlines().finalNs());
     attempt.send(message, timer.deadlines().finalNs());
@@ -189,11 +190,8 @@
   }
 
   private void onHedgeDue() {
-    boolean isDue =
-        !finished
-            && activeAttempts.size() == 1
-            && !preparation.isSelecting()
-            && streamedAttempt == null;
+    boolean isAlone = activeAttempts.size() == 1 && !preparation.isSelecting();
+    boolean isDue = !finished && isAlone && streamedAttempt == null;
     if (isDue && sendCount < route.maxAttempts() && !crashGuard.isSuspected()) {
       selectBackend("hedge", true);
     }
@@ -274,19 +272,22 @@
       return;
     }
     if (head.status().codeClass() == HttpStatusClass.SUCCESS) {
-      long durationNs = context.nowNs() - attempt.sentNs();
-      context.serviceTimes().record(route.name(), route.targetLatencyMs(), durationNs);
+      recordServiceTime(attempt);
     }
     forwardResponse(response);
   }
 
+  private void recordServiceTime(Attempt attempt) {
+    long durationNs = context.nowNs() - attempt.sentNs();
+    context.serviceTimes().record(route.name(), route.targetLatencyMs(), durationNs);
+  }
+
   private void forwardResponse(Attempt.Result.CompleteResponse response) {
     long missingBytes = AttemptResults.missingBytes(response);
     if (missingBytes != 0) {
       context.reportViolation(Invariant.WHOLE_ANSWER, message, missingBytes);
     }
-    HttpHeaders headers = new DefaultHttpHeaders();
-    HeaderRules.copyEndToEnd(response.head().headers(), headers);
+    HttpHeaders headers = HeaderRules.endToEnd(response.head().headers());
     responder.writeResponse(response.head().status(), headers, response.body());
     finish("answered", response.head().status().code());
   }
@@ -375,13 +376,16 @@
       return false;
     }
     streamedAttempt = attempt;
+    if (route.kind() == RequestKind.DOWNLOAD) {
+      // The rest depends on how fast the caller reads.
+      recordServiceTime(attempt);
+    }
     activeAttempts.remove(attempt);
     activeAttempts.forEach(Attempt::cancel);
     activeAttempts.clear();
     activeAttempts.add(attempt);
-    HttpHeaders headers = new DefaultHttpHeaders();
-    HeaderRules.copyEndToEnd(head.headers(), headers);
-    responder.startStream(head.status(), headers, attempt::setAutoRead);
+    responder.startStream(
+        head.status(), HeaderRules.endToEnd(head.headers()), attempt::setAutoRead);
     return true;
   }
 
--- a/edge/src/main/java/org/cowslipstair/edge/http/HeaderRules.java
+++ b/edge/src/main/java/org/cowslipstair/edge/http/HeaderRules.java
@@ -1,5 +1,6 @@
 package org.cowslipstair.edge.http;
 
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.HashSet;
@@ -24,6 +25,13 @@
 
   private HeaderRules() {}
 
+  /** Returns a copy of the header fields that do not concern a single connection. */
+  public static HttpHeaders endToEnd(HttpHeaders headers) {
+    HttpHeaders copy = new DefaultHttpHeaders();
+    copyEndToEnd(headers, copy);
+    return copy;
+  }
+
   /**
    * Copies the end-to-end header fields: all but the hop-by-hop ones and those named in Connection.
    */
--- a/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
@@ -130,7 +130,7 @@
             new HostPort(settings.relay().address().host(), port));
     loop.execute(
         () -> {
-          subscriptions.openSeeds();
+          subscriptions.openSeeds(stateCache::isComplete);
           directory.start(self);
           RepeatedTask.start(loop, "relay", this::check);
           if (!settings.relay().firstStart()) {
@@ -176,6 +176,11 @@
         || proofAgeMs().orElse(Long.MAX_VALUE) <= RelaySubscriptions.MAX_FRESH_PROOF_AGE_MS;
   }
 
+  /** Returns the number of seeds that this gateway has subscribed to. */
+  int askedSeeds() {
+    return subscriptions.askedSeeds();
+  }
+
   /** Returns the number of gateways subscribed to this one. */
   public int subscriberCount() {
     return server.subscribers();
@@ -355,9 +360,7 @@
     }
   }
 
-  /**
-   * Schedules a refresh for the end of the grace, when objects that are still missing are dropped.
-   */
+  /** Schedules a refresh for the end of the grace, when missing objects are dropped. */
   private void scheduleRefresh(long graceNs) {
     if (graceNs > 0) {
       scheduler.scheduleDirect(onChange, graceNs, TimeUnit.NANOSECONDS);
--- a/edge/src/test/java/org/cowslipstair/edge/FixturePlan.java
+++ b/edge/src/test/java/org/cowslipstair/edge/FixturePlan.java
@@ -24,6 +24,13 @@
             route("safe", RequestKind.SAFE, GatewayFixture.LONG_TIMEOUT_MS),
             route("unsafe", RequestKind.UNSAFE, GatewayFixture.LONG_TIMEOUT_MS),
             route("upload", RequestKind.UPLOAD, GatewayFixture.LONG_TIMEOUT_MS),
+            route("download", RequestKind.DOWNLOAD, GatewayFixture.LONG_TIMEOUT_MS),
+            route(
+                "hedged-download",
+                RequestKind.DOWNLOAD,
+                GatewayFixture.LONG_TIMEOUT_MS,
+                GatewayFixture.HEDGED_LATENCY_MS,
+                false),
             route("short", RequestKind.UNSAFE, GatewayFixture.SHORT_TIMEOUT_MS),
             route(
                 "hedged",
--- a/edge/src/test/java/org/cowslipstair/edge/GatewayFixture.java
+++ b/edge/src/test/java/org/cowslipstair/edge/GatewayFixture.java
@@ -59,6 +59,7 @@
   static final long SHORT_TIMEOUT_MS = 1_500;
   static final long LONG_TIMEOUT_MS = 20_000;
   static final long HEDGED_LATENCY_MS = 500;
+  private static final int REQUESTS_FOR_A_HEDGE = 400;
   static final double UNLIMITED_PROBES_PER_SECOND = 10_000;
 
   /** Without a tenant that has a quota, the policy has no effect. */
@@ -292,6 +293,16 @@
     }
   }
 
+  /** A gateway that has just started allows no hedge before its requests have earned one. */
+  void earnHedge() throws IOException {
+    try (RawClient client = client()) {
+      for (int i = 0; i < REQUESTS_FOR_A_HEDGE; i++) {
+        client.send(RawClient.get("/safe/x", "first-" + i));
+      }
+    }
+    backends.forEach(backend -> backend.receivedRequests.clear());
+  }
+
   RawClient client() throws IOException {
     return new RawClient(gateway.callerPort());
   }
