--- a/edge/src/main/java/org/cowslipstair/edge/rollout/Decision.java
+++ b/edge/src/main/java/org/cowslipstair/edge/rollout/Decision.java
@@ -1,6 +1,7 @@
 package org.cowslipstair.edge.rollout;
 
 import java.util.List;
+import org.cowslipstair.logic.invariant.InvariantMonitor;
 import org.cowslipstair.logic.rollout.Directive;
 import org.cowslipstair.logic.rollout.FleetCounts;
 import org.cowslipstair.logic.rollout.RolloutDecider;
@@ -28,8 +29,8 @@
   private long writeAtNs;
   private long lastReportNs;
 
-  Decision(RolloutPolicy policy, RolloutOrder order, long nowNs) {
-    this.decider = new RolloutDecider(policy, order.durationMs(), nowNs);
+  Decision(RolloutPolicy policy, RolloutOrder order, InvariantMonitor monitor, long nowNs) {
+    this.decider = new RolloutDecider(order, policy, monitor, nowNs);
     this.target = order.target();
     this.order = order;
     this.writeAtNs = nowNs;
--- a/edge/src/main/java/org/cowslipstair/edge/rollout/RolloutService.java
+++ b/edge/src/main/java/org/cowslipstair/edge/rollout/RolloutService.java
@@ -18,6 +18,7 @@
 import org.cowslipstair.edge.loop.RepeatedTask;
 import org.cowslipstair.edge.peer.PeerNetwork;
 import org.cowslipstair.logic.budget.GatewayRanking;
+import org.cowslipstair.logic.invariant.InvariantMonitor;
 import org.cowslipstair.logic.rollout.Directive;
 import org.cowslipstair.logic.rollout.RolloutDecider;
 import org.cowslipstair.logic.rollout.RolloutReport;
@@ -68,6 +69,7 @@
   private final RandomGenerator random;
   private final RolloutPolicy policy;
   private final ObjectFeed feed;
+  private final InvariantMonitor monitor;
   private final long boot;
   private final long startedNs;
   private final GatewayRanking ranking = new GatewayRanking();
@@ -92,6 +94,7 @@
     this.random = components.random();
     this.policy = policy;
     this.feed = components.feed();
+    this.monitor = components.monitor();
     this.boot = random.nextLong();
     this.startedNs = clock.nowNs();
     peers.network().register(this);
@@ -227,7 +230,7 @@
         rollout.openOrder().filter(open -> open.target().equals(report.target()));
     Decision decision = decisions.get(report.service());
     if (decision == null && order.isPresent()) {
-      decision = new Decision(policy, order.get(), nowNs);
+      decision = new Decision(policy, order.get(), monitor, nowNs);
       decisions.put(report.service(), decision);
       LOG.infof("rollout: %s: decided by this gateway", describe(order.get()));
     }
--- a/lib/src/main/java/org/cowslipstair/logic/rollout/ExposurePlan.java
+++ b/lib/src/main/java/org/cowslipstair/logic/rollout/ExposurePlan.java
@@ -54,6 +54,11 @@
     return UNASKED_PART * policy.canaryShare();
   }
 
+  /** Returns the number of sends that the new version may have got, whatever it turns out to be. */
+  public long allowedSends(RouteCounts sum) {
+    return (long) (policy.canaryShare() * sum.sent() + policy.canarySlackRequests());
+  }
+
   /** Returns the share that gateways send without being told. */
   public double unaskedShare() {
     return unaskedShare(policy);
--- a/lib/src/main/java/org/cowslipstair/logic/rollout/RolloutDecider.java
+++ b/lib/src/main/java/org/cowslipstair/logic/rollout/RolloutDecider.java
@@ -4,6 +4,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.cowslipstair.logic.invariant.Invariant;
+import org.cowslipstair.logic.invariant.InvariantMonitor;
+import org.cowslipstair.model.rollout.RolloutOrder;
 import org.cowslipstair.model.rollout.RolloutPolicy;
 import org.cowslipstair.model.rollout.RolloutStatus;
 
@@ -14,9 +17,12 @@
  */
 public final class RolloutDecider {
   private final ExposurePlan plan;
+  private final String subject;
+  private final InvariantMonitor monitor;
   private final VersionVerdict verdict = new VersionVerdict();
   private State state = new State.Waiting();
   private long lastStepNs;
+  private Optional<RouteCounts> lastSum = Optional.empty();
 
   /** State of a rollout. */
   public sealed interface State {
@@ -69,8 +75,11 @@
   }
 
   /** Creates a decider that knows no counts. */
-  public RolloutDecider(RolloutPolicy policy, long durationMs, long nowNs) {
-    this.plan = new ExposurePlan(policy, durationMs);
+  public RolloutDecider(
+      RolloutOrder order, RolloutPolicy policy, InvariantMonitor monitor, long nowNs) {
+    this.plan = new ExposurePlan(policy, order.durationMs());
+    this.subject = order.service().value();
+    this.monitor = monitor;
     this.lastStepNs = nowNs;
   }
 
@@ -97,6 +106,7 @@
     verdict.record(input.routes(), (input.nowNs() - lastStepNs) / 1_000_000);
     lastStepNs = input.nowNs();
     List<Action> actions = new ArrayList<>();
+    checkExposure(input.sum());
     State next = next(input);
     if (!next.getClass().equals(state.getClass())) {
       actions.add(new Action.Explain(explain(next, input)));
@@ -115,6 +125,24 @@
     return actions;
   }
 
+  /**
+   * Checks the bound on what the new version gets before it gets everything. A predecessor may have
+   * given it everything, and it gets everything where no other version has a server.
+   */
+  private void checkExposure(RouteCounts sum) {
+    boolean isBound = state instanceof State.Waiting || state instanceof State.Exposing;
+    boolean wasWithin =
+        lastSum
+            .filter(last -> last.target().sent() <= plan.allowedSends(last))
+            .filter(last -> last.others().sent() < sum.others().sent())
+            .isPresent();
+    if (isBound && wasWithin) {
+      monitor.checkAtMost(
+          Invariant.VERSION_EXPOSURE, subject, sum.target().sent(), plan.allowedSends(sum));
+    }
+    lastSum = Optional.of(sum);
+  }
+
   private State next(Input input) {
     Optional<RolloutStatus.State> recordedEnd =
         input.recorded().filter(RolloutStatus.State::isFinal);
--- a/lib/src/test/java/org/cowslipstair/logic/rollout/RolloutDeciderTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/rollout/RolloutDeciderTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasItem;
@@ -10,12 +11,20 @@
 import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import org.cowslipstair.logic.invariant.Invariant;
+import org.cowslipstair.logic.invariant.InvariantMonitor;
+import org.cowslipstair.logic.invariant.Violation;
+import org.cowslipstair.model.config.ServiceName;
+import org.cowslipstair.model.rollout.RolloutOrder;
 import org.cowslipstair.model.rollout.RolloutPolicy;
 import org.cowslipstair.model.rollout.RolloutStatus;
+import org.cowslipstair.model.rollout.ServiceVersion;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -28,7 +37,8 @@
   private static final long LAG_MS = 500;
 
   private final Random random = new Random(3);
-  private RolloutDecider decider = new RolloutDecider(POLICY, DURATION_MS, 0);
+  private final List<Violation> violations = new ArrayList<>();
+  private RolloutDecider decider = newDecider(0);
   private RouteCounts counts = RouteCounts.none();
   private Optional<RolloutStatus.State> recorded = Optional.empty();
   private long ageMs;
@@ -44,6 +54,28 @@
     double at(long ageMs, double share);
   }
 
+  private RolloutDecider newDecider(long nowNs) {
+    RolloutOrder order =
+        new RolloutOrder(
+            "s", 1, new ServiceName("s"), new ServiceVersion("v2"), DURATION_MS, Optional.empty());
+    return new RolloutDecider(order, POLICY, new InvariantMonitor(violations::add), nowNs);
+  }
+
+  @AfterEach
+  void noPromiseIsBroken() {
+    assertThat(violations, is(empty()));
+  }
+
+  /** Gateways that do not do what they are told. */
+  @Test
+  void exposureBeyondTheBoundIsReported() {
+    tick(good());
+    counts = counts.plus(new RouteCounts(new OutcomeCounts(70, 70, 0, 0), OutcomeCounts.none()));
+    tick(good());
+    assertThat(violations.getFirst().invariant(), is(Invariant.VERSION_EXPOSURE));
+    violations.clear();
+  }
+
   private static double shareOf(Directive directive) {
     return switch (directive) {
       case Directive.Share(double share) -> share;
@@ -253,7 +285,7 @@
   void successorGoesOnFromWhatTheGatewaysReport() {
     run(10_000, good());
     long before = counts.target().sent();
-    decider = new RolloutDecider(POLICY, DURATION_MS, ageMs * 1_000_000);
+    decider = newDecider(ageMs * 1_000_000);
     tick(good());
     assertThat(shareOf(decider.directive()), greaterThan(POLICY.canaryShare()));
     run(DURATION_MS, good());
@@ -265,7 +297,7 @@
   void successorFindsWhatItsPredecessorHasNotRecorded() {
     counts = new RouteCounts(new OutcomeCounts(60, 60, 25, 0), new OutcomeCounts(900, 900, 4, 0));
     ageMs = 9_000;
-    decider = new RolloutDecider(POLICY, DURATION_MS, ageMs * 1_000_000);
+    decider = newDecider(ageMs * 1_000_000);
     tick(good());
     assertThat(recorded, equalTo(Optional.of(RolloutStatus.State.ROLLED_BACK)));
   }
