--- a/adapters/src/main/java/org/cowslipstair/adapters/http/Problem.java
+++ b/adapters/src/main/java/org/cowslipstair/adapters/http/Problem.java
@@ -68,12 +68,9 @@
       case UNKNOWN_KEY -> 401;
       case OVER_QUOTA -> 429;
       case MISSING_KEY -> 400;
-      case UNKNOWN_KEY -> 401;
       case DUPLICATE_KEY -> 409;
       case CALLER_GONE -> 400;
-      case OVER_QUOTA -> 429;
-      case CONFIGURATION_OUTDATED,
-          NO_BACKEND,
+      case NO_BACKEND,
           NO_FREE_SLOT,
           RATE_LIMITED,
           BACKENDS_PAUSED,
