--- a/edge/src/main/java/org/cowslipstair/edge/exchange/BackendSelection.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/BackendSelection.java
@@ -12,6 +12,7 @@
 import org.cowslipstair.edge.backend.Prober;
 import org.cowslipstair.edge.http.ServerConnection;
 import org.cowslipstair.edge.permit.PermitListener;
+import org.cowslipstair.logic.overload.Urgency;
 import org.cowslipstair.logic.placement.LatencyEstimate;
 import org.cowslipstair.logic.placement.PlacementRule;
 import org.cowslipstair.model.call.NotRunReason;
@@ -50,8 +51,10 @@
    * Requirements of the selection.
    *
    * @param excluded backend servers that must not be selected
+   * @param urgency order of the request among those that wait for room
    */
-  record Criteria(ServiceName service, Set<BackendName> excluded, PlacementRule rule) {}
+  record Criteria(
+      ServiceName service, Set<BackendName> excluded, PlacementRule rule, Urgency urgency) {}
 
   /**
    * A selected backend server.
@@ -81,18 +84,9 @@
      * @param detail load of the candidates, for logs
      */
     void onNoneSelected(NotRunReason reason, OptionalLong roomInNs, String detail);
-  }
 
-  private record RankedBackend(
-      BackendEntry entry,
-      boolean isLocal,
-      Optional<ServerConnection> connection,
-      OptionalLong permitUntilNs,
-      Optional<LoadReport> load,
-      LatencyEstimate estimate) {
-    PlacementRule.Option option() {
-      return new PlacementRule.Option(estimate, isLocal);
-    }
+    /** No backend server has room in time now, but the request can wait; parameters as above. */
+    void onDeferred(OptionalLong roomInNs, String detail);
   }
 
   BackendSelection(ExchangeContext context, Criteria criteria, Listener listener) {
@@ -241,7 +235,7 @@
     RankedBackend backend =
         new RankedBackend(entry, isLocal, Optional.of(connection), permitUntilNs, report, estimate);
     rankedBackends.add(backend);
-    if (PlacementRule.isGood(estimate)) {
+    if (rule.isGood(estimate, nowNs)) {
       select(backend);
       return;
     }
@@ -262,7 +256,7 @@
   private void onPermitGranted(BackendEntry entry, boolean isLocal, long permitUntilNs) {
     Optional<RankedBackend> backend =
         rankWithoutProbe(entry, isLocal, OptionalLong.of(permitUntilNs));
-    if (backend.filter(ranked -> PlacementRule.isGood(ranked.estimate)).isPresent()) {
+    if (backend.filter(ranked -> rule.isGood(ranked.estimate(), context.nowNs())).isPresent()) {
       select(backend.get());
     } else {
       onProbeFinished();
@@ -310,6 +304,7 @@
           case PROBE_LOCAL -> () -> startRound(false);
           case PROBE_OTHER_ZONES -> () -> startRound(true);
           case AWAIT_RESPONSES -> this::startRoundTimer;
+          case WAIT -> this::defer;
           case REFUSE_NO_ROOM -> () -> refuse(NotRunReason.NO_FREE_SLOT);
           case REFUSE_UNREACHABLE -> () -> refuse(eligibility.unreachableReason());
         };
@@ -319,9 +314,8 @@
   private Optional<RankedBackend> best(long nowNs) {
     RankedBackend best = null;
     for (RankedBackend backend : rankedBackends) {
-      boolean isConnectionLost =
-          backend.connection.isPresent() && !backend.connection.get().isIdle();
-      if (isConnectionLost || !eligibility.canUse(backend.entry, backend.permitUntilNs)) {
+      if (backend.isConnectionLost()
+          || !eligibility.canUse(backend.entry(), backend.permitUntilNs())) {
         continue;
       }
       if (best == null || rule.isBetter(backend.option(), best.option(), nowNs)) {
@@ -334,20 +328,24 @@
   private void select(RankedBackend backend) {
     finish();
     releaseConnectionsExcept(backend);
-    Optional<ServerConnection> usable = backend.connection.filter(ServerConnection::isReusable);
+    Optional<ServerConnection> usable = backend.connection().filter(ServerConnection::isReusable);
     if (usable.isEmpty()) {
-      backend.connection.ifPresent(ServerConnection::close);
+      backend.connection().ifPresent(ServerConnection::close);
     }
     long nowNs = context.nowNs();
-    if (eligibility.needsColdAllowance(backend.entry)) {
-      context.fleet().coldAllowance().recordSend(backend.entry.stats().instance().name(), nowNs);
+    if (eligibility.needsColdAllowance(backend.entry())) {
+      context.fleet().coldAllowance().recordSend(backend.entry().stats().instance().name(), nowNs);
     }
-    if (backend.connection.isEmpty()) {
-      backend.entry.stats().recordUnprobedRequest();
+    if (backend.connection().isEmpty()) {
+      backend.entry().stats().recordUnprobedRequest();
     }
     listener.onSelected(
         new Selected(
-            backend.entry, usable, backend.permitUntilNs, backend.estimate.total(), backend.load));
+            backend.entry(),
+            usable,
+            backend.permitUntilNs(),
+            backend.estimate().total(),
+            backend.load()));
   }
 
   private void refuse(NotRunReason reason) {
@@ -356,11 +354,17 @@
     listener.onNoneSelected(reason, roomInNs(), detail());
   }
 
+  private void defer() {
+    finish();
+    releaseConnectionsExcept(null);
+    listener.onDeferred(roomInNs(), detail());
+  }
+
   private OptionalLong roomInNs() {
     LongStream queueTimesNs =
         rankedBackends.stream()
-            .filter(backend -> eligibility.canUse(backend.entry, backend.permitUntilNs))
-            .mapToLong(backend -> (long) (backend.estimate.queueTime() * rule.serviceTimeNs()));
+            .filter(backend -> eligibility.canUse(backend.entry(), backend.permitUntilNs()))
+            .mapToLong(backend -> (long) (backend.estimate().queueTime() * rule.serviceTimeNs()));
     return LongStream.concat(queueTimesNs, eligibility.availableInNs().stream()).min();
   }
 
@@ -378,23 +382,15 @@
   private void releaseConnectionsExcept(@Nullable RankedBackend selected) {
     for (RankedBackend backend : rankedBackends) {
       if (backend != selected) {
-        backend.connection.ifPresent(
-            connection -> context.table().release(backend.entry, connection));
+        backend
+            .connection()
+            .ifPresent(connection -> context.table().release(backend.entry(), connection));
       }
     }
   }
 
-  /** Describes the load of the candidates, for logs. */
   private String detail() {
-    StringBuilder text = new StringBuilder();
-    text.append("known=").append(context.table().eligible(criteria.service()).size());
-    text.append(" asked=").append(candidates.probeCount());
-    text.append(" answered=").append(rankedBackends.size());
-    for (RankedBackend backend : rankedBackends) {
-      String load =
-          backend.load.map(l -> l.running() + "+" + l.waiting() + "/" + l.slots()).orElse("?");
-      text.append(' ').append(backend.entry.stats().instance().name()).append('=').append(load);
-    }
-    return text.toString();
+    int known = context.table().eligible(criteria.service()).size();
+    return RankedBackend.describe(known, candidates.probeCount(), rankedBackends);
   }
 }
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
@@ -16,7 +16,6 @@
 import org.cowslipstair.edge.http.ServerConnection;
 import org.cowslipstair.logic.budget.RetryBudget;
 import org.cowslipstair.logic.invariant.Invariant;
-import org.cowslipstair.logic.placement.PlacementRule;
 import org.cowslipstair.logic.stop.PlannedStop;
 import org.cowslipstair.model.call.MayHaveRunReason;
 import org.cowslipstair.model.call.NotRunReason;
@@ -45,6 +44,7 @@
   private final CrashGuard crashGuard;
   private final AdmissionSequence admission;
   private final SendPreparation preparation;
+  private final RoomDemand demand;
   private @Nullable Attempt streamedAttempt;
   private MayHaveRunReason lastFailureReason = MayHaveRunReason.CONNECTION_LOST;
   private Attempt.Result.@Nullable CompleteResponse failureResponse;
@@ -66,14 +66,16 @@
     this.hedgeTimer = new HedgeTimer(context, retryBudget, this::onHedgeDue);
     this.preparation = new SendPreparation(context, hedgeTimer, new PreparationListener());
     this.timer = new ExchangeTimer(context, ExchangeDeadlines.of(message, route), this::onTimeout);
+    this.demand = new RoomDemand(context, message, route, service, timer);
     this.admission =
-        new AdmissionSequence(context.admissionSteps(admissionRequest()), new AdmissionListener());
+        new AdmissionSequence(
+            context.admissionSteps(demand.admissionRequest()), new AdmissionListener());
   }
 
   /** Starts the timeout and the selection of a backend server. */
   public void start() {
     retryBudget.recordRequest();
-    Optional<Refusal> refusal = timer.start(serviceTimeNs());
+    Optional<Refusal> refusal = timer.start(demand.serviceTimeNs());
     if (refusal.isPresent()) {
       refuse(refusal.get());
       return;
@@ -84,18 +86,6 @@
     }
   }
 
-  private AdmissionStep.Request admissionRequest() {
-    ExchangeDeadlines deadlines = timer.deadlines();
-    return new AdmissionStep.Request(
-        message.tenant(),
-        route,
-        service,
-        deadlines.arrivedNs(),
-        deadlines.targetNs(),
-        deadlines.finalNs(),
-        serviceTimeNs());
-  }
-
   private final class AdmissionListener implements AdmissionStep.Listener {
     @Override
     public void onAdmitted() {
@@ -124,9 +114,7 @@
   }
 
   private void selectBackend(String cause, boolean isHedge) {
-    PlacementRule rule = timer.deadlines().placementRule(serviceTimeNs(), isHedge, context.nowNs());
-    preparation.start(
-        new BackendSelection.Criteria(service, Set.copyOf(triedBackends), rule), cause, isHedge);
+    preparation.start(demand.criteria(triedBackends, isHedge), cause, isHedge);
   }
 
   private final class PreparationListener implements SendPreparation.Listener {
@@ -141,16 +129,20 @@
       onNoBackendSelected(reason, isHedge);
     }
 
+    @Override
+    public void onWaited(String cause) {
+      demand.recordWait();
+      if (!refuseIfHeldBack()) {
+        selectBackend(cause, false);
+      }
+    }
+
     @Override
     public void onUnreachable() {
       onNoBackendSelected(NotRunReason.BACKEND_UNREACHABLE, !activeAttempts.isEmpty());
     }
   }
 
-  private double serviceTimeNs() {
-    return context.serviceTimes().averageNs(route.name(), route.targetLatencyMs());
-  }
-
   private void send(BackendSelection.Selected selected, ServerConnection connection, String cause) {
     BackendEntry entry = selected.entry();
     Optional<NotRunReason> reasonNotToSend =
@@ -175,12 +167,12 @@
     mayHaveRunCount++;
     triedBackends.add(entry.stats().instance().name());
     preparation.recordRoomAfterSend(selected);
-    Attempt attempt = new Attempt(context, entry, connection, this);
+    Attempt attempt = new Attempt(context, selected, connection, this);
     activeAttempts.add(attempt);
     context.reportSent(message, selected, cause, timer.deadlines().finalNs());
     attempt.send(message, timer.deadlines().finalNs());
     if (route.kind().isRepeatable() && sendCount < route.maxAttempts()) {
-      hedgeTimer.start(serviceTimeNs(), timer.deadlines().targetNs());
+      hedgeTimer.start(demand.serviceTimeNs(), timer.deadlines().targetNs());
     }
   }
 
@@ -271,7 +263,7 @@
     }
     if (head.status().codeClass() == HttpStatusClass.SUCCESS) {
       long durationNs = context.nowNs() - attempt.sentNs();
-      context.serviceTimes().record(route.name(), route.targetLatencyMs(), durationNs);
+      demand.recordDuration(durationNs, attempt.estimate());
     }
     forwardResponse(response);
   }
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
@@ -25,14 +25,17 @@
 import org.cowslipstair.logic.invariant.InvariantMonitor;
 import org.cowslipstair.logic.invariant.Violation;
 import org.cowslipstair.logic.overload.LoopDelay;
+import org.cowslipstair.logic.overload.UrgentRoutes;
 import org.cowslipstair.logic.placement.CandidateOrder;
 import org.cowslipstair.logic.placement.FailureAverage;
+import org.cowslipstair.logic.placement.PlacementRule;
 import org.cowslipstair.logic.placement.ServiceTimes;
 import org.cowslipstair.logic.stop.PlannedStop;
 import org.cowslipstair.model.call.NotRunReason;
 import org.cowslipstair.model.config.ServiceName;
 import org.cowslipstair.model.traffic.RequestFingerprint;
 import org.cowslipstair.model.traffic.Route;
+import org.cowslipstair.model.traffic.TrafficPlan;
 import org.cowslipstair.port.MonotonicClock;
 
 /** State and dependencies shared by the exchanges of one gateway. Used on the event loop only. */
@@ -51,6 +54,9 @@
   private final Map<String, WeightedServiceSelector> serviceSelectors = new HashMap<>();
   private final ServiceTimes serviceTimes = new ServiceTimes();
   private final LoopDelay loopDelay = new LoopDelay();
+  private final WaitingRoom waitingRoom;
+  private long urgentRoutesVersion;
+  private Optional<UrgentRoutes> urgentRoutes = Optional.empty();
   private final RateLimitHeader rateLimitHeader;
   private final CrashDetector crashDetector;
   private Optional<PlannedStop> plannedStop = Optional.empty();
@@ -59,6 +65,7 @@
   /** Creates a context. */
   public ExchangeContext(Dependencies dependencies) {
     this.dependencies = dependencies;
+    this.waitingRoom = new WaitingRoom(dependencies.loop(), dependencies.clock());
     this.rateLimitHeader = new RateLimitHeader(dependencies.headers().rateLimit());
     this.crashDetector =
         new CrashDetector(dependencies.table(), dependencies.prober(), dependencies.clock());
@@ -148,6 +155,22 @@
     return dependencies.observer();
   }
 
+  WaitingRoom waitingRoom() {
+    return waitingRoom;
+  }
+
+  /** Returns what a request without room in time does. */
+  PlacementRule.Waiting waiting(ServiceName service, Route route, int priority) {
+    Optional<TrafficPlan> plan = table().state().plan();
+    if (plan.isPresent() && plan.get().version() != urgentRoutesVersion) {
+      urgentRoutesVersion = plan.get().version();
+      urgentRoutes = plan.map(UrgentRoutes::new);
+    }
+    return urgentRoutes.filter(r -> r.hasMoreUrgent(service, route, priority)).isPresent()
+        ? PlacementRule.Waiting.SPARING_LAST_SLOTS
+        : PlacementRule.Waiting.WHILE_IN_TIME;
+  }
+
   ServiceTimes serviceTimes() {
     return serviceTimes;
   }
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeDeadlines.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeDeadlines.java
@@ -48,9 +48,19 @@
     return loopDelayNs > (targetNs - arrivedNs) * MAX_LOOP_DELAY_SHARE;
   }
 
-  /** Returns the rule by which a backend server is selected from now on. */
-  PlacementRule placementRule(double serviceTimeNs, boolean isHedge, long nowNs) {
+  /**
+   * Returns the rule by which a backend server is selected from now on.
+   *
+   * @param isResumed whether the request has waited for room; its selection has as much time again
+   */
+  PlacementRule placementRule(
+      double serviceTimeNs,
+      boolean isHedge,
+      PlacementRule.Waiting waiting,
+      boolean isResumed,
+      long nowNs) {
+    long endNs = isResumed ? nowNs + (selectionEndNs - arrivedNs) : nowNs;
     return new PlacementRule(
-        serviceTimeNs, targetNs, Math.max(selectionEndNs, nowNs), finalNs, isHedge);
+        serviceTimeNs, targetNs, Math.max(selectionEndNs, endNs), finalNs, isHedge, waiting);
   }
 }
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/SendPreparation.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/SendPreparation.java
@@ -1,5 +1,6 @@
 package org.cowslipstair.edge.exchange;
 
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.cowslipstair.edge.backend.BackendEntry;
 import org.cowslipstair.edge.http.ServerConnection;
@@ -12,6 +13,7 @@
   private final HedgeTimer hedgeTimer;
   private final Listener listener;
   private @Nullable BackendSelection selection;
+  private WaitingRoom.@Nullable Visit visit;
   private OptionalLong roomInNs = OptionalLong.empty();
   private String detail = "";
   private boolean cancelled;
@@ -24,6 +26,9 @@
     /** No backend server can be used. */
     void onNoneSelected(NotRunReason reason, boolean isHedge);
 
+    /** The request has waited for room; its next selection is due. */
+    void onWaited(String cause);
+
     /** No connection to the selected backend server could be opened. */
     void onUnreachable();
   }
@@ -63,11 +68,37 @@
                 detail = selectionDetail;
                 listener.onNoneSelected(reason, isHedge);
               }
+
+              @Override
+              public void onDeferred(OptionalLong newRoomInNs, String selectionDetail) {
+                selection = null;
+                roomInNs = newRoomInNs;
+                detail = selectionDetail;
+                waitForRoom(criteria, cause);
+              }
             });
     selection = newSelection;
     newSelection.start();
   }
 
+  private void waitForRoom(BackendSelection.Criteria criteria, String cause) {
+    Optional<WaitingRoom.Visit> entered =
+        context
+            .waitingRoom()
+            .enter(
+                criteria.service(),
+                criteria.urgency(),
+                roomInNs,
+                () -> {
+                  visit = null;
+                  listener.onWaited(cause);
+                });
+    visit = entered.orElse(null);
+    if (entered.isEmpty()) {
+      listener.onNoneSelected(NotRunReason.NO_FREE_SLOT, false);
+    }
+  }
+
   private void connect(BackendSelection.Selected selected, String cause) {
     if (selected.connection().isPresent()) {
       listener.onConnected(selected, selected.connection().get(), cause);
@@ -92,9 +123,9 @@
             });
   }
 
-  /** Returns whether a selection is in progress. */
+  /** Returns whether a selection is in progress or waits for room. */
   boolean isSelecting() {
-    return selection != null;
+    return selection != null || visit != null;
   }
 
   /** Records what the load report of a server tells of its room after a send. */
@@ -118,6 +149,10 @@
   /** Ends the preparation; the listener is not called any more. */
   void cancel() {
     cancelled = true;
+    if (visit != null) {
+      visit.leave();
+      visit = null;
+    }
     if (selection != null) {
       selection.cancel();
       selection = null;
--- a/lib/src/main/java/org/cowslipstair/logic/placement/LatencyEstimate.java
+++ b/lib/src/main/java/org/cowslipstair/logic/placement/LatencyEstimate.java
@@ -12,13 +12,15 @@
  *     is unhealthy
  * @param hasFreeSlot whether a slot is free now
  * @param canQueue whether the queue of the backend server has room for the request
+ * @param takesLastSlot whether the request would take the only free slot of several
  */
 public record LatencyEstimate(
     double serviceTime,
     double queueTime,
     double failurePenalty,
     boolean hasFreeSlot,
-    boolean canQueue) {
+    boolean canQueue,
+    boolean takesLastSlot) {
   /** Share of slots in use above which backend servers tend to slow down. */
   private static final double HIGH_UTILIZATION = 0.8;
 
@@ -46,6 +48,16 @@
    */
   private static final double PACE_WEIGHT = 0.7;
 
+  /** Creates an estimate for a backend server that has further free slots, or none. */
+  public LatencyEstimate(
+      double serviceTime,
+      double queueTime,
+      double failurePenalty,
+      boolean hasFreeSlot,
+      boolean canQueue) {
+    this(serviceTime, queueTime, failurePenalty, hasFreeSlot, canQueue, false);
+  }
+
   /** Returns the expected total time, in multiples of the usual service time. */
   public double total() {
     return serviceTime + queueTime;
@@ -77,7 +89,8 @@
         queueTime,
         failurePenalty(stats, serviceFailureShare, nowNs),
         hasFreeSlot,
-        load.waiting() < slots);
+        load.waiting() < slots,
+        slots > 1 && load.total() == slots - 1);
   }
 
   /**
--- a/lib/src/main/java/org/cowslipstair/logic/placement/PlacementRule.java
+++ b/lib/src/main/java/org/cowslipstair/logic/placement/PlacementRule.java
@@ -14,31 +14,43 @@
  *     the request is refused if there is none
  * @param deadlineNs monotonic time at which the caller gets a response in any case
  * @param isHedge whether the request is already running on another backend server
+ * @param waiting whether the request may wait for room, and what it leaves to others
  */
 public record PlacementRule(
     double serviceTimeNs,
     long targetDeadlineNs,
     long selectionEndNs,
     long deadlineNs,
-    boolean isHedge) {
+    boolean isHedge,
+    Waiting waiting) {
   /** A backend server with a free slot and a score up to this is selected at once. */
   private static final double GOOD_SCORE = 1.6;
 
   /**
-   * Factor on the expected duration of a request that has to queue, since the pace of the backend
-   * server changes until it starts.
+   * Factor on the expected duration within which nearly all responses come: work varies, and the
+   * pace of a backend server changes while a request queues and runs.
    */
-  private static final double QUEUE_UNCERTAINTY = 1.5;
+  private static final double RESERVE = 1.5;
+
+  /**
+   * Time until the target, in expected durations with their reserve, from which a request is
+   * patient: it can be delayed by twice its work and still be in time.
+   */
+  private static final double PATIENT_FROM = 3;
 
   /** Expected outcome of a request on a backend server, best first. */
   public enum Prospect {
-    /** The response is expected within the target latency. */
+    /** The response comes within the target latency even if it takes longer than expected. */
     IN_TIME,
+    /** The response is expected within the target latency, without a reserve. */
+    TIGHT,
     /** The response is expected before the deadline. */
     LATE,
     /** A slot is free, but the response is not expected before the deadline. */
     UNLIKELY,
-    /** The backend server has no room. */
+    /**
+     * The backend server has no room: no slot is free, and its queue would make the request late.
+     */
     NO_ROOM
   }
 
@@ -52,12 +64,27 @@
     PROBE_OTHER_ZONES,
     /** Wait for responses to probes. */
     AWAIT_RESPONSES,
+    /** Select again after a pause: the request can still be in time then. */
+    WAIT,
     /** Refuse the request: no backend server has room. */
     REFUSE_NO_ROOM,
     /** Refuse the request: no backend server has responded. */
     REFUSE_UNREACHABLE
   }
 
+  /** What a request without room in time does. */
+  public enum Waiting {
+    /** It is sent or refused at once. */
+    NONE,
+    /** It waits for room while it can be in time. */
+    WHILE_IN_TIME,
+    /**
+     * As {@link #WHILE_IN_TIME}, and while it is patient it leaves the last free slot of each
+     * backend server to requests that are not.
+     */
+    SPARING_LAST_SLOTS
+  }
+
   /** A backend server that the request could be sent to. */
   public record Option(LatencyEstimate estimate, boolean isLocal) {}
 
@@ -71,7 +98,11 @@
   public record Remaining(boolean hasLocal, boolean hasInOtherZones, boolean hasPendingProbes) {}
 
   /** Returns whether a backend server is so good that no others need to be probed. */
-  public static boolean isGood(LatencyEstimate estimate) {
+  public boolean isGood(LatencyEstimate estimate, long nowNs) {
+    return isFast(estimate) && (isHedge || prospect(estimate, nowNs) == Prospect.IN_TIME);
+  }
+
+  private static boolean isFast(LatencyEstimate estimate) {
     return estimate.hasFreeSlot() && estimate.score() <= GOOD_SCORE;
   }
 
@@ -93,32 +124,58 @@
     if (best.isEmpty()) {
       return Step.REFUSE_UNREACHABLE;
     }
+    if (isWorthWaiting(best.get().estimate, nowNs)) {
+      return Step.WAIT;
+    }
     return isWorthSending(best.get().estimate, nowNs) ? Step.SELECT : Step.REFUSE_NO_ROOM;
   }
 
   /**
    * Returns whether sending the request is better than refusing it. A request that would queue and
    * still be late is refused: in the queue it would make others late too, while its caller can
-   * return when there is room.
+   * return when there is room. So is one that would be late at a slow server although even a queue
+   * elsewhere is shorter: it would hold a slot for several times its usual work.
    */
   private boolean isWorthSending(LatencyEstimate estimate, long nowNs) {
     return isHedge
-        ? isGood(estimate)
+        ? isFast(estimate)
         : estimate.hasFreeSlot() || prospect(estimate, nowNs) == Prospect.IN_TIME;
   }
 
+  private boolean isWorthWaiting(LatencyEstimate estimate, long nowNs) {
+    if (waiting == Waiting.NONE || isHedge || latestStartNs() <= nowNs) {
+      return false;
+    }
+    return prospect(estimate, nowNs).compareTo(Prospect.TIGHT) > 0 || spares(estimate, nowNs);
+  }
+
+  /** Returns the monotonic time until which the request can start and most likely be in time. */
+  public long latestStartNs() {
+    return targetDeadlineNs - (long) (RESERVE * serviceTimeNs);
+  }
+
   private boolean isGoodEnough(LatencyEstimate estimate, long nowNs) {
     return estimate.hasFreeSlot()
-        && (!isHedge || isGood(estimate))
+        && (!isHedge || isFast(estimate))
         && prospect(estimate, nowNs) == Prospect.IN_TIME;
   }
 
+  /** Returns whether the request leaves the slot to others for now. */
+  private boolean spares(LatencyEstimate estimate, long nowNs) {
+    return waiting == Waiting.SPARING_LAST_SLOTS
+        && estimate.takesLastSlot()
+        && nowNs + PATIENT_FROM * RESERVE * serviceTimeNs <= targetDeadlineNs;
+  }
+
   /** Returns what is expected of a request that is sent now. */
   public Prospect prospect(LatencyEstimate estimate, long nowNs) {
     boolean hasRoom = estimate.hasFreeSlot() || estimate.canQueue();
-    double uncertainty = estimate.hasFreeSlot() ? 1 : QUEUE_UNCERTAINTY;
-    if (hasRoom && nowNs + estimate.score() * uncertainty * serviceTimeNs <= targetDeadlineNs) {
-      return Prospect.IN_TIME;
+    double durationNs = estimate.score() * serviceTimeNs;
+    if (hasRoom && nowNs + durationNs * RESERVE <= targetDeadlineNs) {
+      return spares(estimate, nowNs) ? Prospect.TIGHT : Prospect.IN_TIME;
+    }
+    if (estimate.hasFreeSlot() && nowNs + durationNs <= targetDeadlineNs) {
+      return Prospect.TIGHT;
     }
     if (hasRoom && nowNs + estimate.total() * serviceTimeNs < deadlineNs) {
       return Prospect.LATE;
@@ -145,10 +202,11 @@
   /** Preference of a backend server; the lowest value is preferred. */
   private int preference(Prospect prospect, boolean isLocal) {
     return switch (prospect) {
-      case IN_TIME -> isLocal ? 0 : isHedge ? 2 : 1;
-      case LATE -> isLocal ? isHedge ? 1 : 2 : 3;
-      case UNLIKELY -> isLocal ? 4 : 5;
-      case NO_ROOM -> isLocal ? 6 : 7;
+      case IN_TIME -> isLocal ? 0 : isHedge ? 3 : 1;
+      case TIGHT -> isLocal ? isHedge ? 1 : 2 : isHedge ? 4 : 3;
+      case LATE -> isLocal ? isHedge ? 2 : 4 : 5;
+      case UNLIKELY -> isLocal ? 6 : 7;
+      case NO_ROOM -> isLocal ? 8 : 9;
     };
   }
 }
--- a/lib/src/test/java/org/cowslipstair/logic/overload/model/ModelGateway.java
+++ b/lib/src/test/java/org/cowslipstair/logic/overload/model/ModelGateway.java
@@ -136,7 +136,8 @@
               arrivedNs + targetNs,
               Math.max(nowNs, arrivedNs + targetNs / 8),
               arrivedNs + TIMEOUT_MS * NS_PER_MS,
-              isHedge);
+              isHedge,
+              PlacementRule.Waiting.NONE);
       new Selection(this, rule).round(false);
     }
 
@@ -240,7 +241,7 @@
             LatencyEstimate.fromReport(load, known.get(server).stats(), share, simulation.nowNs());
         boolean isLocal = servers.get(server).zone == zone;
         found.add(new Candidate(server, load, new PlacementRule.Option(estimate, isLocal)));
-        if (PlacementRule.isGood(estimate)) {
+        if (rule.isGood(estimate, simulation.nowNs())) {
           break;
         }
       }
--- a/lib/src/test/java/org/cowslipstair/logic/placement/PlacementRuleTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/placement/PlacementRuleTest.java
@@ -17,6 +17,7 @@
 import org.cowslipstair.logic.placement.PlacementRule.Prospect;
 import org.cowslipstair.logic.placement.PlacementRule.Remaining;
 import org.cowslipstair.logic.placement.PlacementRule.Step;
+import org.cowslipstair.logic.placement.PlacementRule.Waiting;
 import org.junit.jupiter.api.Test;
 
 /** Where work goes: to the own zone, unless another zone makes the difference. */
@@ -35,7 +36,12 @@
   private static final Remaining NOTHING = new Remaining(false, false, false);
 
   private static PlacementRule rule(boolean isHedge) {
-    return new PlacementRule(SERVICE_TIME_NS, TARGET_NS, SELECTION_END_NS, DEADLINE_NS, isHedge);
+    return rule(isHedge, Waiting.NONE);
+  }
+
+  private static PlacementRule rule(boolean isHedge, Waiting waiting) {
+    return new PlacementRule(
+        SERVICE_TIME_NS, TARGET_NS, SELECTION_END_NS, DEADLINE_NS, isHedge, waiting);
   }
 
   private static Option local(LatencyEstimate estimate) {
@@ -69,7 +75,9 @@
     PlacementRule rule = rule(isHedge);
     if (rule.isBetter(other(far), local(near), 0)) {
       List<Prospect> staying =
-          isHedge ? List.of(Prospect.IN_TIME, Prospect.LATE) : List.of(Prospect.IN_TIME);
+          isHedge
+              ? List.of(Prospect.IN_TIME, Prospect.TIGHT, Prospect.LATE)
+              : List.of(Prospect.IN_TIME);
       assertThat(staying.contains(rule.prospect(near, 0)), is(false));
       assertThat(rule.prospect(far, 0), lessThan(rule.prospect(near, 0)));
       Step next = rule.next(Optional.of(local(near)), OTHER_ZONES, 0);
@@ -150,6 +158,52 @@
     assertThat(next(local(QUEUED), NOTHING), is(Step.REFUSE_NO_ROOM));
   }
 
+  /** A burst beside slow servers: a slow slot is held for several times the usual work. */
+  @Test
+  void slowFreeSlotIsLeftAloneWhileEvenAQueueIsShorter() {
+    assertThat(rule(false).isBetter(local(QUEUED), local(SLOW), 0), is(true));
+    assertThat(next(local(QUEUED), NOTHING), is(Step.REFUSE_NO_ROOM));
+    assertThat(next(local(SLOW), NOTHING), is(Step.SELECT));
+  }
+
+  /** Short calls at the knee: a response that is in time only on average is late for many. */
+  @Test
+  void requestLooksForAReserveBeforeItIsSent() {
+    LatencyEstimate atTheKnee = new LatencyEstimate(2.5, 0, 1, true, true, true);
+    assertThat(rule(false).prospect(atTheKnee, 0), is(Prospect.TIGHT));
+    assertThat(next(local(atTheKnee), ALL), is(Step.PROBE_LOCAL));
+    assertThat(next(local(atTheKnee), NOTHING), is(Step.SELECT));
+  }
+
+  /** A burst beside slow servers: all free slots would make the request late. */
+  @Test
+  void requestWaitsWhileItCanBeInTime() {
+    PlacementRule waiting = rule(false, Waiting.WHILE_IN_TIME);
+    Optional<Option> full = Optional.of(local(FULL));
+    Optional<Option> slow = Optional.of(local(SLOW));
+    assertThat(waiting.next(full, NOTHING, 0), is(Step.WAIT));
+    assertThat(waiting.next(slow, NOTHING, 0), is(Step.WAIT));
+    assertThat(waiting.next(full, NOTHING, waiting.latestStartNs()), is(Step.REFUSE_NO_ROOM));
+    assertThat(waiting.next(slow, NOTHING, waiting.latestStartNs()), is(Step.SELECT));
+    PlacementRule hedge = rule(true, Waiting.WHILE_IN_TIME);
+    assertThat(hedge.next(full, NOTHING, 0), is(Step.REFUSE_NO_ROOM));
+  }
+
+  /** A burst of long reads beside short urgent uploads: the reads can bear a delay. */
+  @Test
+  void patientRequestLeavesTheLastSlotOfABackendToOthers() {
+    LatencyEstimate lastSlot = new LatencyEstimate(1.5, 0, 1, true, true, true);
+    Optional<Option> best = Optional.of(local(lastSlot));
+    long targetNs = 10 * (long) SERVICE_TIME_NS;
+    PlacementRule patient =
+        new PlacementRule(
+            SERVICE_TIME_NS, targetNs, 0, DEADLINE_NS, false, Waiting.SPARING_LAST_SLOTS);
+    assertThat(patient.next(best, NOTHING, 0), is(Step.WAIT));
+    assertThat(patient.isBetter(local(IDLE), local(lastSlot), 0), is(true));
+    long laterNs = 6 * (long) SERVICE_TIME_NS;
+    assertThat(patient.next(best, NOTHING, laterNs), is(Step.SELECT));
+  }
+
   @Test
   void requestLeavesAFullZone() {
     assertThat(rule(false).isBetter(other(IDLE), local(FULL), 0), is(true));
