--- a/edge/src/main/java/org/cowslipstair/edge/exchange/BackendSelection.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/BackendSelection.java
@@ -64,13 +64,15 @@
    *     no permit
    * @param estimate expected duration in multiples of the usual service time
    * @param load load report that the selection was based on
+   * @param isInTime whether the request is expected to be in time
    */
   record Selected(
       BackendEntry entry,
       Optional<ServerConnection> connection,
       OptionalLong permitUntilNs,
       double estimate,
-      Optional<LoadReport> load) {}
+      Optional<LoadReport> load,
+      boolean isInTime) {}
 
   /** Receives the result; exactly one method is called, once, unless the selection is cancelled. */
   interface Listener {
@@ -345,7 +347,8 @@
             usable,
             backend.permitUntilNs(),
             backend.estimate().total(),
-            backend.load()));
+            backend.load(),
+            rule.isInTime(backend.estimate(), nowNs)));
   }
 
   private void refuse(NotRunReason reason) {
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
@@ -121,14 +121,21 @@
     @Override
     public void onConnected(
         BackendSelection.Selected selected, ServerConnection connection, String cause) {
+      demand.recordLook(selected.isInTime());
       send(selected, connection, cause);
     }
 
     @Override
     public void onNoneSelected(NotRunReason reason, boolean isHedge) {
+      demand.recordLook(false);
       onNoBackendSelected(reason, isHedge);
     }
 
+    @Override
+    public void onWaiting() {
+      demand.recordLook(false);
+    }
+
     @Override
     public void onWaited(String cause) {
       demand.recordWait();
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/RoomDemand.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/RoomDemand.java
@@ -18,7 +18,7 @@
   private final ServiceName service;
   private final ExchangeTimer timer;
   private final int priority;
-  private final PlacementRule.Waiting waiting;
+  private boolean hasLooked;
   private boolean hasWaited;
 
   RoomDemand(
@@ -33,7 +33,6 @@
     this.service = service;
     this.timer = timer;
     this.priority = admissionRequest().priority();
-    this.waiting = context.waiting(service, route, priority);
   }
 
   /** Returns what the steps of the admission may know. */
@@ -59,6 +58,23 @@
     hasWaited = true;
   }
 
+  private PlacementRule.Waiting waiting() {
+    long nowNs = context.nowNs();
+    long untilTargetNs = timer.deadlines().targetNs() - nowNs;
+    return PlacementRule.Waiting.of(
+        PlacementRule.isPatient(serviceTimeNs(), untilTargetNs),
+        context.roomLevel(route).isShort(nowNs),
+        context.hasMoreUrgent(service, route, priority));
+  }
+
+  /** Records whether there was room in time; only the first look of a request counts. */
+  void recordLook(boolean foundRoom) {
+    if (!hasLooked) {
+      hasLooked = true;
+      context.roomLevel(route).record(foundRoom, context.nowNs());
+    }
+  }
+
   /**
    * Returns what the next selection looks for.
    *
@@ -68,7 +84,7 @@
     PlacementRule rule =
         timer
             .deadlines()
-            .placementRule(serviceTimeNs(), isHedge, waiting, hasWaited, context.nowNs());
+            .placementRule(serviceTimeNs(), isHedge, waiting(), hasWaited, context.nowNs());
     Urgency urgency = new Urgency(priority, rule.latestStartNs(), serviceTimeNs());
     return new BackendSelection.Criteria(service, Set.copyOf(excluded), rule, urgency);
   }
--- a/lib/src/main/java/org/cowslipstair/logic/overload/WaitingTime.java
+++ b/lib/src/main/java/org/cowslipstair/logic/overload/WaitingTime.java
@@ -11,9 +11,9 @@
   private static final long MIN_NS = 10_000_000L;
 
   /** Minimum and maximum share of the slack until the next search. */
-  private static final double MIN_SLACK_SHARE = 0.125;
+  private static final double MIN_SLACK_SHARE = 0.25;
 
-  private static final double MAX_SLACK_SHARE = 0.33;
+  private static final double MAX_SLACK_SHARE = 0.5;
 
   private WaitingTime() {}
 
--- a/lib/src/main/java/org/cowslipstair/logic/placement/PlacementRule.java
+++ b/lib/src/main/java/org/cowslipstair/logic/placement/PlacementRule.java
@@ -32,11 +32,14 @@
    */
   private static final double RESERVE = 1.5;
 
+  /** Time that a request keeps for its work when it waits, in usual service times. */
+  private static final double KEPT_SERVICE_TIMES = 2;
+
   /**
-   * Time until the target, in expected durations with their reserve, from which a request is
-   * patient: it can be delayed by twice its work and still be in time.
+   * Time until the target, in usual service times, from which a request is patient: it can be
+   * delayed by more than its work and still be in time.
    */
-  private static final double PATIENT_FROM = 3;
+  private static final double PATIENT_FROM = 4.5;
 
   /** Expected outcome of a request on a backend server, best first. */
   public enum Prospect {
@@ -82,7 +85,20 @@
      * As {@link #WHILE_IN_TIME}, and while it is patient it leaves the last free slot of each
      * backend server to requests that are not.
      */
-    SPARING_LAST_SLOTS
+    SPARING_LAST_SLOTS;
+
+    /**
+     * Returns what a request does.
+     *
+     * @param isShort whether most requests of its route find no room
+     * @param hasMoreUrgent whether its service gets more urgent requests
+     */
+    public static Waiting of(boolean isPatient, boolean isShort, boolean hasMoreUrgent) {
+      if (isPatient) {
+        return hasMoreUrgent ? SPARING_LAST_SLOTS : WHILE_IN_TIME;
+      }
+      return isShort ? NONE : WHILE_IN_TIME;
+    }
   }
 
   /** A backend server that the request could be sent to. */
@@ -146,12 +162,17 @@
     if (waiting == Waiting.NONE || isHedge || latestStartNs() <= nowNs) {
       return false;
     }
-    return prospect(estimate, nowNs).compareTo(Prospect.TIGHT) > 0 || spares(estimate, nowNs);
+    return !isInTime(estimate, nowNs) || spares(estimate, nowNs);
+  }
+
+  /** Returns whether a request with this time until its target can bear a delay. */
+  public static boolean isPatient(double serviceTimeNs, long untilTargetNs) {
+    return PATIENT_FROM * serviceTimeNs <= untilTargetNs;
   }
 
   /** Returns the monotonic time until which the request can start and most likely be in time. */
   public long latestStartNs() {
-    return targetDeadlineNs - (long) (RESERVE * serviceTimeNs);
+    return targetDeadlineNs - (long) (KEPT_SERVICE_TIMES * serviceTimeNs);
   }
 
   private boolean isGoodEnough(LatencyEstimate estimate, long nowNs) {
@@ -164,7 +185,7 @@
   private boolean spares(LatencyEstimate estimate, long nowNs) {
     return waiting == Waiting.SPARING_LAST_SLOTS
         && estimate.takesLastSlot()
-        && nowNs + PATIENT_FROM * RESERVE * serviceTimeNs <= targetDeadlineNs;
+        && isPatient(serviceTimeNs, targetDeadlineNs - nowNs);
   }
 
   /** Returns what is expected of a request that is sent now. */
@@ -183,6 +204,11 @@
     return estimate.hasFreeSlot() ? Prospect.UNLIKELY : Prospect.NO_ROOM;
   }
 
+  /** Returns whether a request that is sent now is expected to be in time. */
+  public boolean isInTime(LatencyEstimate estimate, long nowNs) {
+    return prospect(estimate, nowNs).compareTo(Prospect.TIGHT) <= 0;
+  }
+
   /** Returns whether the first backend server is preferred over the second one. */
   public boolean isBetter(Option first, Option second, long nowNs) {
     int firstPreference = preference(prospect(first.estimate, nowNs), first.isLocal);
--- a/lib/src/test/java/org/cowslipstair/logic/overload/model/LoadModel.java
+++ b/lib/src/test/java/org/cowslipstair/logic/overload/model/LoadModel.java
@@ -5,18 +5,11 @@
 import java.util.Random;
 
 /**
- * A service of the large deployment under a pattern of load: 152 gateways in five zones, 97 backend
- * servers, callers that return twice at most and honor Retry-After. The gateways make the product's
- * decisions; network, processes and clocks are virtual.
+ * One service of a deployment under a pattern of load; callers return as often as their demand says
+ * and honor Retry-After. The gateways make the product's decisions; network, processes and clocks
+ * are virtual.
  */
 final class LoadModel {
-  private static final int ZONES = 5;
-  private static final int GATEWAYS = 152;
-  private static final int SERVERS = 97;
-  private static final double RETRY_SLACK = 230;
-  private static final long CALLER_TIME_MS = 5_000;
-  private static final long TARGET_MS = 400;
-  private static final int MAX_RETURNS = 2;
   private static final long CONNECT_MS = 2;
 
   private final Simulation simulation = new Simulation();
@@ -29,64 +22,69 @@
     this.pattern = pattern;
     this.random = new Random(seed);
     List<ModelServer> servers = new ArrayList<>();
-    for (int i = 0; i < SERVERS; i++) {
-      servers.add(new ModelServer(i, i % ZONES, pattern, simulation));
+    Fleet fleet = pattern.fleet();
+    for (int i = 0; i < fleet.servers(); i++) {
+      servers.add(new ModelServer(i, i % fleet.zones(), pattern, simulation));
     }
-    for (int zone = 0; zone < ZONES; zone++) {
+    for (int zone = 0; zone < fleet.zones(); zone++) {
       gatewaysByZone.add(new ArrayList<>());
     }
-    for (int i = 0; i < GATEWAYS; i++) {
+    for (int i = 0; i < fleet.gateways(); i++) {
       gatewaysByZone
-          .get(i % ZONES)
-          .add(
-              new ModelGateway(
-                  i, i % ZONES, GATEWAYS, RETRY_SLACK, servers, simulation, policy, result));
+          .get(i % fleet.zones())
+          .add(new ModelGateway(i, i % fleet.zones(), fleet, servers, simulation, policy, result));
     }
   }
 
   static Result play(Pattern pattern, Policy policy, long seed) {
     LoadModel model = new LoadModel(pattern, policy, seed);
-    model.simulation.schedule(0, model::onArrival);
-    model.simulation.run(Pattern.END_MS + CALLER_TIME_MS);
+    long lastMs = Pattern.END_MS;
+    for (Pattern.Stream stream : pattern.streams()) {
+      model.simulation.schedule(0, () -> model.onArrival(stream));
+      lastMs = Math.max(lastMs, Pattern.END_MS + stream.demand().callerMs());
+    }
+    model.simulation.run(lastMs);
     return model.result;
   }
 
-  private void onArrival() {
+  private void onArrival(Pattern.Stream stream) {
     if (simulation.nowMs() >= Pattern.END_MS) {
       return;
     }
     boolean isTrouble = Pattern.isTrouble(simulation.nowMs());
-    double rate = pattern.requestsPerSecond() * (isTrouble ? pattern.burstFactor() : 1);
-    int zone = random.nextInt(ZONES);
+    double rate = stream.requestsPerSecond() * (isTrouble ? stream.burstFactor() : 1);
+    int zone = random.nextInt(pattern.fleet().zones());
     boolean isMoved = isTrouble && random.nextDouble() < pattern.movedShare();
-    new Caller(isMoved ? 0 : zone, isTrouble).send();
+    new Caller(stream.demand(), isMoved ? 0 : zone, isTrouble).send();
     simulation.schedule(
-        Math.round(-Math.log(1 - random.nextDouble()) * 1_000 / rate), this::onArrival);
+        Math.round(-Math.log(1 - random.nextDouble()) * 1_000 / rate), () -> onArrival(stream));
   }
 
   private final class Caller implements ModelGateway.Listener {
+    private final Demand demand;
     private final int zone;
-    private final boolean isCounted;
+    private final Result.Counts counts;
     private final long startMs = simulation.nowMs();
     private int returns;
 
-    Caller(int zone, boolean isCounted) {
+    Caller(Demand demand, int zone, boolean isCounted) {
+      this.demand = demand;
       this.zone = zone;
-      this.isCounted = isCounted;
-      result.callers += isCounted ? 1 : 0;
+      this.counts = isCounted ? result.counts(demand.route()) : new Result.Counts();
+      counts.callers++;
     }
 
     void send() {
       List<ModelGateway> gateways = gatewaysByZone.get(zone);
-      long remainingMs = CALLER_TIME_MS - (simulation.nowMs() - startMs);
-      gateways.get(random.nextInt(gateways.size())).handle(remainingMs, this);
+      long remainingMs = demand.callerMs() - (simulation.nowMs() - startMs);
+      gateways.get(random.nextInt(gateways.size())).handle(demand, remainingMs, this);
     }
 
     @Override
     public void onServed() {
-      boolean isInTime = simulation.nowMs() - startMs <= TARGET_MS;
-      result.inTime += isCounted && isInTime ? 1 : 0;
-      result.late += isCounted && !isInTime ? 1 : 0;
+      boolean isInTime = simulation.nowMs() - startMs <= demand.targetMs();
+      counts.inTime += isInTime ? 1 : 0;
+      counts.late += isInTime ? 0 : 1;
     }
 
     @Override
@@ -100,12 +98,12 @@
     }
 
     private void comeBack(long delayMs) {
-      long remainingMs = CALLER_TIME_MS - (simulation.nowMs() - startMs);
-      if (returns < MAX_RETURNS && remainingMs > delayMs + TARGET_MS) {
+      long remainingMs = demand.callerMs() - (simulation.nowMs() - startMs);
+      if (returns < demand.maxReturns() && remainingMs > delayMs + demand.targetMs()) {
         returns++;
         simulation.schedule(delayMs + CONNECT_MS, this::send);
       } else {
-        result.failed += isCounted ? 1 : 0;
+        counts.failed++;
       }
     }
   }
--- a/lib/src/test/java/org/cowslipstair/logic/overload/model/LoadModelTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/overload/model/LoadModelTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.lessThan;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -34,7 +35,7 @@
   void callersOfAServiceThatShedsReturnAtOnce() {
     Result result = play(Pattern.shedding());
     assertThat(result.toString(), result.inTimeShare(), greaterThan(0.8));
-    Result before = play(Pattern.shedding(), new Policy(false, true, true));
+    Result before = play(Pattern.shedding(), new Policy(false, true, true, true));
     assertThat(before.toString(), before.inTimeShare(), lessThan(0.7));
   }
 
@@ -43,7 +44,7 @@
   void serviceThatShedsIsNotSearchedForABetterBackend() {
     Result result = play(Pattern.shedding());
     assertThat(result.toString(), result.probesPerSend(), lessThan(2.5));
-    Result before = play(Pattern.shedding(), new Policy(true, false, true));
+    Result before = play(Pattern.shedding(), new Policy(true, false, true, true));
     assertThat(before.toString(), before.probesPerSend(), greaterThan(3.0));
   }
 
@@ -51,7 +52,7 @@
   void backendsThatDoNotRespondAreNotProbedByEveryRequest() {
     Result result = play(Pattern.zoneGoesDark());
     assertThat(result.toString(), result.inTimeShare(), greaterThan(0.95));
-    Result before = play(Pattern.zoneGoesDark(), new Policy(true, true, false));
+    Result before = play(Pattern.zoneGoesDark(), new Policy(true, true, false, true));
     assertThat(
         result.toString(),
         result.probesThatGotNoResponse,
@@ -71,4 +72,33 @@
     Result result = play(Pattern.shift());
     assertThat(result.toString(), result.inTimeShare(), greaterThan(0.95));
   }
+
+  @Test
+  void print() {
+    for (Fleet fleet : List.of(Fleet.RECORDS, Fleet.RECORDS.small())) {
+      System.out.println(
+          "reads before "
+              + play(Pattern.burstOfLongReads(fleet), new Policy(true, true, true, false)));
+      System.out.println("reads after " + play(Pattern.burstOfLongReads(fleet)));
+    }
+    for (Fleet fleet : List.of(Fleet.ORDERS, Fleet.ORDERS.small())) {
+      System.out.println(
+          "short before "
+              + play(Pattern.burstOfShortCalls(fleet), new Policy(true, true, true, false)));
+      System.out.println("short after " + play(Pattern.burstOfShortCalls(fleet)));
+      System.out.println(
+          "slow before " + play(Pattern.slowServers(fleet), new Policy(true, true, true, false)));
+      System.out.println("slow after " + play(Pattern.slowServers(fleet)));
+    }
+    for (Pattern p :
+        List.of(
+            Pattern.calm(),
+            Pattern.burst(),
+            Pattern.shedding(),
+            Pattern.zoneGoesDark(),
+            Pattern.shift())) {
+      System.out.println("before " + play(p, new Policy(true, true, true, false)));
+      System.out.println("after " + play(p));
+    }
+  }
 }
--- a/lib/src/test/java/org/cowslipstair/logic/overload/model/ModelGateway.java
+++ b/lib/src/test/java/org/cowslipstair/logic/overload/model/ModelGateway.java
@@ -3,8 +3,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
@@ -12,6 +14,9 @@
 import org.cowslipstair.logic.budget.RetryBudget;
 import org.cowslipstair.logic.invariant.InvariantMonitor;
 import org.cowslipstair.logic.overload.ReturnDelay;
+import org.cowslipstair.logic.overload.RoomLevel;
+import org.cowslipstair.logic.overload.Urgency;
+import org.cowslipstair.logic.overload.WaitingTime;
 import org.cowslipstair.logic.placement.BackendStats;
 import org.cowslipstair.logic.placement.CandidateOrder;
 import org.cowslipstair.logic.placement.FailureAverage;
@@ -35,10 +40,7 @@
   private static final int MAX_PROBES = 10;
   private static final int MAX_LOCAL_PROBES = 7;
   private static final int MAX_ATTEMPTS = 3;
-  private static final long TARGET_MS = 400;
-  private static final long TIMEOUT_MS = 2_500;
   private static final double HEDGE_AT = 0.45;
-  private static final String ROUTE = "page";
 
   private final Simulation simulation;
   private final Policy policy;
@@ -51,13 +53,13 @@
   private final FailureAverage failures;
   private final ReturnDelay returnDelay;
   private final ServiceTimes serviceTimes = new ServiceTimes();
+  private final Map<String, RoomLevel> levels = new HashMap<>();
   private final Random random;
 
   ModelGateway(
       int index,
       int zone,
-      int gateways,
-      double slack,
+      Fleet fleet,
       List<ModelServer> servers,
       Simulation simulation,
       Policy policy,
@@ -70,7 +72,7 @@
     this.random = new Random(1_000 + index);
     this.order = new CandidateOrder("g-" + index, new ZoneName("z" + zone), random);
     this.budget = new RetryBudget("s", 0.2, new Random(2_000 + index), InvariantMonitor.failing());
-    this.budget.setShare(slack, gateways);
+    this.budget.setShare(fleet.retrySlack(), fleet.gateways());
     this.failures = new FailureAverage(0.1, 0);
     this.returnDelay = new ReturnDelay(random);
     for (int i = 0; i < servers.size(); i++) {
@@ -80,7 +82,7 @@
               new ServiceName("s"),
               new HostPort("10.0.0.1", 1 + i),
               new ZoneName("z" + servers.get(i).zone),
-              3,
+              fleet.slots(),
               false,
               0,
               1,
@@ -105,43 +107,86 @@
     void onFailed();
   }
 
-  void handle(long callerRemainingMs, Listener listener) {
+  void handle(Demand demand, long callerRemainingMs, Listener listener) {
     budget.recordRequest();
-    new Exchange(callerRemainingMs, listener).select(false);
+    new Exchange(demand, callerRemainingMs, listener).select(false);
+  }
+
+  private RoomLevel level(Demand demand) {
+    return levels.computeIfAbsent(demand.route(), _ -> new RoomLevel());
   }
 
   private final class Exchange {
     private final long arrivedMs = simulation.nowMs();
+    private final Demand demand;
     private final long callerRemainingMs;
     private final Listener listener;
     private final Set<BackendName> tried = new HashSet<>();
     private int attempts;
     private int active;
     private boolean finished;
+    private boolean hasWaited;
+    private boolean hasLooked;
 
-    Exchange(long callerRemainingMs, Listener listener) {
+    Exchange(Demand demand, long callerRemainingMs, Listener listener) {
+      this.demand = demand;
       this.callerRemainingMs = callerRemainingMs;
       this.listener = listener;
-      simulation.schedule(Math.min(TIMEOUT_MS, callerRemainingMs), this::onTimeout);
+      simulation.schedule(Math.min(demand.timeoutMs(), callerRemainingMs), this::onTimeout);
     }
 
     void select(boolean isHedge) {
-      double serviceTimeNs = serviceTimes.averageNs(ROUTE, TARGET_MS);
+      double serviceTimeNs = serviceTimes.averageNs(demand.route(), demand.targetMs());
       long nowNs = simulation.nowNs();
       long arrivedNs = arrivedMs * NS_PER_MS;
-      long targetNs = TARGET_MS * NS_PER_MS;
+      long targetNs = demand.targetMs() * NS_PER_MS;
       PlacementRule rule =
           new PlacementRule(
               serviceTimeNs,
               arrivedNs + targetNs,
-              Math.max(nowNs, arrivedNs + targetNs / 8),
-              arrivedNs + TIMEOUT_MS * NS_PER_MS,
+              Math.max(hasWaited ? nowNs + targetNs / 8 : nowNs, arrivedNs + targetNs / 8),
+              arrivedNs + demand.timeoutMs() * NS_PER_MS,
               isHedge,
-              PlacementRule.Waiting.NONE);
+              waiting());
       new Selection(this, rule).round(false);
     }
 
-    void onSelected(int server, boolean isHedge, OptionalLong roomInNs) {
+    private PlacementRule.Waiting waiting() {
+      if (!policy.waitsForRoom()) {
+        return PlacementRule.Waiting.NONE;
+      }
+      long nowNs = simulation.nowNs();
+      long untilTargetNs = (arrivedMs + demand.targetMs()) * NS_PER_MS - nowNs;
+      double serviceTimeNs = serviceTimes.averageNs(demand.route(), demand.targetMs());
+      return PlacementRule.Waiting.of(
+          PlacementRule.isPatient(serviceTimeNs, untilTargetNs),
+          level(demand).isShort(nowNs),
+          demand.priority() > 1);
+    }
+
+    void recordRoom(PlacementRule.Prospect prospect) {
+      if (!hasLooked) {
+        hasLooked = true;
+        boolean foundRoom = prospect.compareTo(PlacementRule.Prospect.TIGHT) <= 0;
+        level(demand).record(foundRoom, simulation.nowNs());
+      }
+    }
+
+    void onDeferred(PlacementRule rule, OptionalLong roomInNs) {
+      hasWaited = true;
+      result.waits++;
+      Urgency urgency = new Urgency(demand.priority(), rule.latestStartNs(), rule.serviceTimeNs());
+      long delayNs = WaitingTime.untilNextNs(urgency, roomInNs, simulation.nowNs());
+      simulation.schedule(
+          delayNs / NS_PER_MS,
+          () -> {
+            if (!finished) {
+              select(false);
+            }
+          });
+    }
+
+    void onSelected(int server, double estimate, boolean isHedge, OptionalLong roomInNs) {
       if (finished || isHedge && !budget.tryAcquireHedge()) {
         return;
       }
@@ -152,9 +197,11 @@
       result.otherZone += servers.get(server).zone == zone ? 0 : 1;
       tried.add(known.get(server).stats().instance().name());
       long sentMs = simulation.nowMs();
-      servers.get(server).accept(ran -> onDone(server, ran, sentMs, roomInNs));
+      servers
+          .get(server)
+          .accept(demand.workMs(), ran -> onDone(server, ran, sentMs, estimate, roomInNs));
       if (attempts == 1) {
-        simulation.schedule((long) (TARGET_MS * HEDGE_AT), this::onHedgeDue);
+        simulation.schedule((long) (demand.targetMs() * HEDGE_AT), this::onHedgeDue);
       }
     }
 
@@ -164,7 +211,8 @@
       }
     }
 
-    private void onDone(int server, boolean ran, long sentMs, OptionalLong roomInNs) {
+    private void onDone(
+        int server, boolean ran, long sentMs, double estimate, OptionalLong roomInNs) {
       long nowNs = simulation.nowNs();
       active--;
       known.get(server).stats().recordOutcome(ran, nowNs);
@@ -174,7 +222,8 @@
       }
       if (ran) {
         finished = true;
-        serviceTimes.record(ROUTE, TARGET_MS, (simulation.nowMs() - sentMs) * NS_PER_MS);
+        long usualNs = (long) ((simulation.nowMs() - sentMs) * NS_PER_MS / Math.max(1, estimate));
+        serviceTimes.record(demand.route(), demand.targetMs(), usualNs);
         listener.onServed();
       } else if (active == 0 && attempts < MAX_ATTEMPTS && budget.tryAcquireRetry()) {
         result.retries++;
@@ -291,14 +340,23 @@
         round(true);
       } else if (step == PlacementRule.Step.SELECT && best != null) {
         boolean hasFreeSlot = best.load.total() < best.load.slots();
+        exchange.recordRoom(rule.prospect(best.option.estimate(), nowNs));
         exchange.onSelected(
-            best.server, rule.isHedge(), hasFreeSlot ? OptionalLong.of(0) : OptionalLong.empty());
+            best.server,
+            best.option.estimate().total(),
+            rule.isHedge(),
+            hasFreeSlot ? OptionalLong.of(0) : OptionalLong.empty());
       } else {
         OptionalLong roomInNs =
             found.stream()
                 .mapToLong(c -> (long) (c.option.estimate().queueTime() * rule.serviceTimeNs()))
                 .min();
-        exchange.onNoneSelected(rule.isHedge(), roomInNs);
+        exchange.recordRoom(PlacementRule.Prospect.NO_ROOM);
+        if (step == PlacementRule.Step.WAIT) {
+          exchange.onDeferred(rule, roomInNs);
+        } else {
+          exchange.onNoneSelected(rule.isHedge(), roomInNs);
+        }
       }
     }
   }
--- a/lib/src/test/java/org/cowslipstair/logic/overload/model/ModelServer.java
+++ b/lib/src/test/java/org/cowslipstair/logic/overload/model/ModelServer.java
@@ -10,18 +10,16 @@
  * of its slots. A request that cannot be queued never gets a response.
  */
 final class ModelServer {
-  private static final int SLOTS = 3;
   private static final int QUEUE = 6;
   private static final long PACE_INTERVAL_MS = 150;
-  private static final double NOISY_SHARE = 0.25;
   private static final double NOISY_FACTOR = 5;
   private static final double KNEE = 0.8;
   private static final double KNEE_FACTOR = 1.7;
-  private static final double WORK_MS = 160;
   private static final double WORK_SPREAD = 0.3;
 
   final int zone;
   private final int index;
+  private final int slots;
   private final Pattern pattern;
   private final Simulation simulation;
   private final Random random;
@@ -32,6 +30,7 @@
     this.index = index;
     this.zone = zone;
     this.pattern = pattern;
+    this.slots = pattern.fleet().slots();
     this.simulation = simulation;
     this.random = new Random(index);
   }
@@ -41,12 +40,13 @@
   }
 
   LoadReport report() {
-    return new LoadReport(running, queue.size(), SLOTS, pace());
+    return new LoadReport(running, queue.size(), slots, pace());
   }
 
   private double pace() {
     long interval = simulation.nowMs() / PACE_INTERVAL_MS;
-    boolean isNoisy = new Random(31L * index + 1_000_003L * interval).nextDouble() < NOISY_SHARE;
+    boolean isNoisy =
+        new Random(31L * index + 1_000_003L * interval).nextDouble() < pattern.fleet().noisyShare();
     boolean isSlow =
         Pattern.isTrouble(simulation.nowMs()) && index % 100 < pattern.slowShare() * 100;
     return (isNoisy ? NOISY_FACTOR : 1) * (isSlow ? pattern.slowFactor() : 1);
@@ -55,18 +55,19 @@
   /**
    * Takes a request.
    *
+   * @param workMs work at the usual pace
    * @param onDone called with whether it ran; not at all if the backend server is dark or full
    */
-  void accept(DoneListener onDone) {
+  void accept(double workMs, DoneListener onDone) {
     if (isDark()) {
       return;
     }
     if (Pattern.isTrouble(simulation.nowMs()) && random.nextDouble() < pattern.shedShare()) {
       onDone.onDone(false);
-    } else if (running < SLOTS) {
-      run(onDone);
+    } else if (running < slots) {
+      run(workMs, onDone);
     } else if (queue.size() < QUEUE) {
-      queue.add(() -> run(onDone));
+      queue.add(() -> run(workMs, onDone));
     }
   }
 
@@ -75,12 +76,12 @@
     void onDone(boolean ran);
   }
 
-  private void run(DoneListener onDone) {
+  private void run(double workMs, DoneListener onDone) {
     running++;
-    double knee = (double) running / SLOTS > KNEE ? KNEE_FACTOR : 1;
+    double knee = (double) running / slots > KNEE ? KNEE_FACTOR : 1;
     double spread = 1 + WORK_SPREAD * (2 * random.nextDouble() - 1);
     simulation.schedule(
-        (long) (WORK_MS * spread * knee * pace()),
+        (long) (workMs * spread * knee * pace()),
         () -> {
           running--;
           if (!queue.isEmpty()) {
