--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Attempt.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Attempt.java
@@ -32,7 +32,6 @@
 
   private final ExchangeContext context;
   private final BackendEntry entry;
-  private final double estimate;
   private final ServerConnection connection;
   private final Listener listener;
   private final long sentNs;
@@ -77,23 +76,14 @@
   }
 
   Attempt(
-      ExchangeContext context,
-      BackendSelection.Selected selected,
-      ServerConnection connection,
-      Listener listener) {
+      ExchangeContext context, BackendEntry entry, ServerConnection connection, Listener listener) {
     this.context = context;
-    this.entry = selected.entry();
-    this.estimate = selected.estimate();
+    this.entry = entry;
     this.connection = connection;
     this.listener = listener;
     this.sentNs = context.nowNs();
   }
 
-  /** Returns the expected duration in multiples of the usual service time. */
-  double estimate() {
-    return estimate;
-  }
-
   /** Sends the request with the time remaining until the deadline. */
   void send(RequestMessage message, long deadlineNs) {
     entry.stats().recordRequestStart();
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/BackendSelection.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/BackendSelection.java
@@ -64,15 +64,13 @@
    *     no permit
    * @param estimate expected duration in multiples of the usual service time
    * @param load load report that the selection was based on
-   * @param isInTime whether the request is expected to be in time
    */
   record Selected(
       BackendEntry entry,
       Optional<ServerConnection> connection,
       OptionalLong permitUntilNs,
       double estimate,
-      Optional<LoadReport> load,
-      boolean isInTime) {}
+      Optional<LoadReport> load) {}
 
   /** Receives the result; exactly one method is called, once, unless the selection is cancelled. */
   interface Listener {
@@ -347,8 +345,7 @@
             usable,
             backend.permitUntilNs(),
             backend.estimate().total(),
-            backend.load(),
-            rule.isInTime(backend.estimate(), nowNs)));
+            backend.load()));
   }
 
   private void refuse(NotRunReason reason) {
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
@@ -121,21 +121,14 @@
     @Override
     public void onConnected(
         BackendSelection.Selected selected, ServerConnection connection, String cause) {
-      demand.recordLook(selected.isInTime());
       send(selected, connection, cause);
     }
 
     @Override
     public void onNoneSelected(NotRunReason reason, boolean isHedge) {
-      demand.recordLook(false);
       onNoBackendSelected(reason, isHedge);
     }
 
-    @Override
-    public void onWaiting() {
-      demand.recordLook(false);
-    }
-
     @Override
     public void onWaited(String cause) {
       demand.recordWait();
@@ -174,7 +167,7 @@
     mayHaveRunCount++;
     triedBackends.add(entry.stats().instance().name());
     preparation.recordRoomAfterSend(selected);
-    Attempt attempt = new Attempt(context, selected, connection, this);
+    Attempt attempt = new Attempt(context, entry, connection, this);
     activeAttempts.add(attempt);
     context.reportSent(message, selected, cause, timer.deadlines().finalNs());
     attempt.send(message, timer.deadlines().finalNs());
@@ -270,7 +263,7 @@
     }
     if (head.status().codeClass() == HttpStatusClass.SUCCESS) {
       long durationNs = context.nowNs() - attempt.sentNs();
-      demand.recordDuration(durationNs, attempt.estimate());
+      context.serviceTimes().record(route.name(), route.targetLatencyMs(), durationNs);
     }
     forwardResponse(response);
   }
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
@@ -25,7 +25,6 @@
 import org.cowslipstair.logic.invariant.InvariantMonitor;
 import org.cowslipstair.logic.invariant.Violation;
 import org.cowslipstair.logic.overload.LoopDelay;
-import org.cowslipstair.logic.overload.RoomLevel;
 import org.cowslipstair.logic.overload.UrgentRoutes;
 import org.cowslipstair.logic.placement.CandidateOrder;
 import org.cowslipstair.logic.placement.FailureAverage;
@@ -55,7 +54,6 @@
   private final ServiceTimes serviceTimes = new ServiceTimes();
   private final LoopDelay loopDelay = new LoopDelay();
   private final WaitingRoom waitingRoom;
-  private final Map<String, RoomLevel> roomLevels = new HashMap<>();
   private long urgentRoutesVersion;
   private Optional<UrgentRoutes> urgentRoutes = Optional.empty();
   private final RateLimitHeader rateLimitHeader;
@@ -160,18 +158,12 @@
     return waitingRoom;
   }
 
-  /** Returns how short of room the requests of a route are. */
-  RoomLevel roomLevel(Route route) {
-    return roomLevels.computeIfAbsent(route.name(), _ -> new RoomLevel());
-  }
-
   /** Returns whether a service gets requests that are more urgent than one. */
   boolean hasMoreUrgent(ServiceName service, Route route, int priority) {
     Optional<TrafficPlan> plan = table().state().plan();
     if (plan.isPresent() && plan.get().version() != urgentRoutesVersion) {
       urgentRoutesVersion = plan.get().version();
       urgentRoutes = plan.map(UrgentRoutes::new);
-      roomLevels.clear();
     }
     return urgentRoutes.filter(r -> r.hasMoreUrgent(service, route, priority)).isPresent();
   }
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/RoomDemand.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/RoomDemand.java
@@ -18,7 +18,6 @@
   private final ServiceName service;
   private final ExchangeTimer timer;
   private final int priority;
-  private boolean hasLooked;
   private boolean hasWaited;
 
   RoomDemand(
@@ -59,22 +58,12 @@
   }
 
   private PlacementRule.Waiting waiting() {
-    long nowNs = context.nowNs();
-    long untilTargetNs = timer.deadlines().targetNs() - nowNs;
+    ExchangeDeadlines deadlines = timer.deadlines();
     return PlacementRule.Waiting.of(
-        PlacementRule.isPatient(serviceTimeNs(), untilTargetNs),
-        context.roomLevel(route).isShort(nowNs),
+        PlacementRule.isPatient(serviceTimeNs(), deadlines.targetNs() - deadlines.arrivedNs()),
         context.hasMoreUrgent(service, route, priority));
   }
 
-  /** Records whether there was room in time; only the first look of a request counts. */
-  void recordLook(boolean foundRoom) {
-    if (!hasLooked) {
-      hasLooked = true;
-      context.roomLevel(route).record(foundRoom, context.nowNs());
-    }
-  }
-
   /**
    * Returns what the next selection looks for.
    *
@@ -88,14 +77,4 @@
     Urgency urgency = new Urgency(priority, rule.latestStartNs(), serviceTimeNs());
     return new BackendSelection.Criteria(service, Set.copyOf(excluded), rule, urgency);
   }
-
-  /**
-   * Records how long a backend server took for it.
-   *
-   * @param estimate expected duration in multiples of the usual service time
-   */
-  void recordDuration(long durationNs, double estimate) {
-    long usualNs = (long) (durationNs / Math.max(1, estimate));
-    context.serviceTimes().record(route.name(), route.targetLatencyMs(), usualNs);
-  }
 }
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/SendPreparation.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/SendPreparation.java
@@ -26,9 +26,6 @@
     /** No backend server can be used. */
     void onNoneSelected(NotRunReason reason, boolean isHedge);
 
-    /** The request begins to wait for room. */
-    void onWaiting();
-
     /** The request has waited for room; its next selection is due. */
     void onWaited(String cause);
 
@@ -97,7 +94,6 @@
                   listener.onWaited(cause);
                 });
     visit = entered.orElse(null);
-    listener.onWaiting();
     if (entered.isEmpty()) {
       listener.onNoneSelected(NotRunReason.NO_FREE_SLOT, false);
     }
--- a/lib/src/main/java/org/cowslipstair/logic/placement/PlacementRule.java
+++ b/lib/src/main/java/org/cowslipstair/logic/placement/PlacementRule.java
@@ -27,26 +27,26 @@
   private static final double GOOD_SCORE = 1.6;
 
   /**
-   * Factor on the expected duration within which nearly all responses come: work varies, and the
-   * pace of a backend server changes while a request queues and runs.
+   * Factor on the expected duration of a request that has to queue, since the pace of the backend
+   * server changes until it starts.
    */
-  private static final double RESERVE = 1.5;
+  private static final double QUEUE_UNCERTAINTY = 1.5;
 
-  /** Time that a request keeps for its work when it waits, in usual service times. */
-  private static final double KEPT_SERVICE_TIMES = 2;
+  /** Time that a waiting request keeps for its work, in usual service times. */
+  private static final double KEPT_SERVICE_TIMES = 1.5;
 
   /**
    * Time until the target, in usual service times, from which a request is patient: it can be
-   * delayed by more than its work and still be in time.
+   * delayed by its whole work and still be in time.
    */
-  private static final double PATIENT_FROM = 4.5;
+  private static final double PATIENT_FROM = 2.5;
 
   /** Expected outcome of a request on a backend server, best first. */
   public enum Prospect {
-    /** The response comes within the target latency even if it takes longer than expected. */
+    /** The response is expected within the target latency. */
     IN_TIME,
-    /** The response is expected within the target latency, without a reserve. */
-    TIGHT,
+    /** As {@link #IN_TIME}, but the request leaves the slot to more urgent ones for now. */
+    SPARED,
     /** The response is expected before the deadline. */
     LATE,
     /** A slot is free, but the response is not expected before the deadline. */
@@ -88,16 +88,18 @@
     SPARING_LAST_SLOTS;
 
     /**
-     * Returns what a request does.
+     * Returns what a request does. One that is not patient does not wait: it would only be in time
+     * at a backend server with several free slots, and while few have any, each that waits delays
+     * those that come after it.
      *
-     * @param isShort whether most requests of its route find no room
+     * @param isPatient whether it could bear a delay when it arrived
      * @param hasMoreUrgent whether its service gets more urgent requests
      */
-    public static Waiting of(boolean isPatient, boolean isShort, boolean hasMoreUrgent) {
-      if (isPatient) {
-        return hasMoreUrgent ? SPARING_LAST_SLOTS : WHILE_IN_TIME;
+    public static Waiting of(boolean isPatient, boolean hasMoreUrgent) {
+      if (!isPatient) {
+        return NONE;
       }
-      return isShort ? NONE : WHILE_IN_TIME;
+      return hasMoreUrgent ? SPARING_LAST_SLOTS : WHILE_IN_TIME;
     }
   }
 
@@ -115,7 +117,7 @@
 
   /** Returns whether a backend server is so good that no others need to be probed. */
   public boolean isGood(LatencyEstimate estimate, long nowNs) {
-    return isFast(estimate) && (isHedge || prospect(estimate, nowNs) == Prospect.IN_TIME);
+    return isFast(estimate) && !spares(estimate, nowNs);
   }
 
   private static boolean isFast(LatencyEstimate estimate) {
@@ -162,7 +164,7 @@
     if (waiting == Waiting.NONE || isHedge || latestStartNs() <= nowNs) {
       return false;
     }
-    return !isInTime(estimate, nowNs) || spares(estimate, nowNs);
+    return prospect(estimate, nowNs) != Prospect.IN_TIME;
   }
 
   /** Returns whether a request with this time until its target can bear a delay. */
@@ -170,7 +172,7 @@
     return PATIENT_FROM * serviceTimeNs <= untilTargetNs;
   }
 
-  /** Returns the monotonic time until which the request can start and most likely be in time. */
+  /** Returns the monotonic time until which the request waits. */
   public long latestStartNs() {
     return targetDeadlineNs - (long) (KEPT_SERVICE_TIMES * serviceTimeNs);
   }
@@ -181,22 +183,22 @@
         && prospect(estimate, nowNs) == Prospect.IN_TIME;
   }
 
-  /** Returns whether the request leaves the slot to others for now. */
+  /**
+   * Returns whether the request leaves a place to more urgent ones for now: the last free slot of a
+   * backend server, or its queue.
+   */
   private boolean spares(LatencyEstimate estimate, long nowNs) {
     return waiting == Waiting.SPARING_LAST_SLOTS
-        && estimate.takesLastSlot()
+        && (estimate.takesLastSlot() || !estimate.hasFreeSlot())
         && isPatient(serviceTimeNs, targetDeadlineNs - nowNs);
   }
 
   /** Returns what is expected of a request that is sent now. */
   public Prospect prospect(LatencyEstimate estimate, long nowNs) {
     boolean hasRoom = estimate.hasFreeSlot() || estimate.canQueue();
-    double durationNs = estimate.score() * serviceTimeNs;
-    if (hasRoom && nowNs + durationNs * RESERVE <= targetDeadlineNs) {
-      return spares(estimate, nowNs) ? Prospect.TIGHT : Prospect.IN_TIME;
-    }
-    if (estimate.hasFreeSlot() && nowNs + durationNs <= targetDeadlineNs) {
-      return Prospect.TIGHT;
+    double uncertainty = estimate.hasFreeSlot() ? 1 : QUEUE_UNCERTAINTY;
+    if (hasRoom && nowNs + estimate.score() * uncertainty * serviceTimeNs <= targetDeadlineNs) {
+      return spares(estimate, nowNs) ? Prospect.SPARED : Prospect.IN_TIME;
     }
     if (hasRoom && nowNs + estimate.total() * serviceTimeNs < deadlineNs) {
       return Prospect.LATE;
@@ -204,11 +206,6 @@
     return estimate.hasFreeSlot() ? Prospect.UNLIKELY : Prospect.NO_ROOM;
   }
 
-  /** Returns whether a request that is sent now is expected to be in time. */
-  public boolean isInTime(LatencyEstimate estimate, long nowNs) {
-    return prospect(estimate, nowNs).compareTo(Prospect.TIGHT) <= 0;
-  }
-
   /** Returns whether the first backend server is preferred over the second one. */
   public boolean isBetter(Option first, Option second, long nowNs) {
     int firstPreference = preference(prospect(first.estimate, nowNs), first.isLocal);
@@ -229,7 +226,7 @@
   private int preference(Prospect prospect, boolean isLocal) {
     return switch (prospect) {
       case IN_TIME -> isLocal ? 0 : isHedge ? 3 : 1;
-      case TIGHT -> isLocal ? isHedge ? 1 : 2 : isHedge ? 4 : 3;
+      case SPARED -> isLocal ? isHedge ? 1 : 2 : isHedge ? 4 : 3;
       case LATE -> isLocal ? isHedge ? 2 : 4 : 5;
       case UNLIKELY -> isLocal ? 6 : 7;
       case NO_ROOM -> isLocal ? 8 : 9;
--- a/lib/src/test/java/org/cowslipstair/logic/overload/model/LoadModelTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/overload/model/LoadModelTest.java
@@ -86,6 +86,12 @@
           "short before "
               + play(Pattern.burstOfShortCalls(fleet), new Policy(true, true, true, false)));
       System.out.println("short after " + play(Pattern.burstOfShortCalls(fleet)));
+      System.out.println(
+          "shed before "
+              + play(
+                  Pattern.sheddingToCallersThatReturnOnce(fleet),
+                  new Policy(true, true, true, true)));
+      System.out.println("shed after " + play(Pattern.sheddingToCallersThatReturnOnce(fleet)));
       System.out.println(
           "slow before " + play(Pattern.slowServers(fleet), new Policy(true, true, true, false)));
       System.out.println("slow after " + play(Pattern.slowServers(fleet)));
--- a/lib/src/test/java/org/cowslipstair/logic/overload/model/Pattern.java
+++ b/lib/src/test/java/org/cowslipstair/logic/overload/model/Pattern.java
@@ -99,6 +99,13 @@
         fleet, List.of(new Stream(Demand.STATUS, 160 * perServer, 1)), 0, 0.2, 5, -1, 0);
   }
 
+  /** Every server of short calls sheds half of what it gets, and callers return only once. */
+  static Pattern sheddingToCallersThatReturnOnce(Fleet fleet) {
+    double perServer = fleet.servers() / 103.0;
+    return new Pattern(
+        fleet, List.of(new Stream(Demand.STATUS, 160 * perServer, 1)), 0.55, 0, 1, -1, 0);
+  }
+
   static boolean isTrouble(long nowMs) {
     return nowMs >= TROUBLE_START_MS && nowMs < TROUBLE_END_MS;
   }
--- a/lib/src/test/java/org/cowslipstair/logic/overload/model/Policy.java
+++ b/lib/src/test/java/org/cowslipstair/logic/overload/model/Policy.java
@@ -6,7 +6,7 @@
  * @param returnsWhenThereIsRoom whether Retry-After follows the room; otherwise it is 0.1 to 0.5 s
  * @param sharesFailures whether failures that all backend servers share leave the ranking alone
  * @param skipsUnresponsive whether backend servers that do not respond to a probe are left out
- * @param waitsForRoom whether requests wait while they can be in time, and spare last slots
+ * @param waitsForRoom whether patient requests wait for room and spare last slots
  */
 record Policy(
     boolean returnsWhenThereIsRoom,
