--- a/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
+++ b/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
@@ -78,6 +78,7 @@
   private final TrafficStateCache stateCache;
   private final BackendTable table;
   private final ProbeRateLimiter probeRateLimiter;
+  private final ExchangeContext exchangeContext;
   private final CallerContext callerContext;
   private final StateSync stateSync;
   private final ColdSendLimiter coldSendLimiter;
@@ -120,7 +121,7 @@
         new Prober(
             components.loop(), table, components.headers(), probeRateLimiter, components.clock());
     this.coldSendLimiter = new ColdSendLimiter(settings.name(), components.monitor());
-    ExchangeContext exchangeContext =
+    this.exchangeContext =
         new ExchangeContext(
             new ExchangeContext.Dependencies(
                 components.loop(),
@@ -207,7 +208,8 @@
   }
 
   private String stateJson() {
-    return new StateDump(stateCache, table, stateSync, permits, quarantine)
+    return new StateDump(
+            stateCache, table, stateSync, permits, quarantine, exchangeContext::waitingRequests)
         .json(settings, isReady(), callerContext.connectionCount(), components.clock().nowNs());
   }
 
--- a/edge/src/main/java/org/cowslipstair/edge/StateDump.java
+++ b/edge/src/main/java/org/cowslipstair/edge/StateDump.java
@@ -6,6 +6,8 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
+import java.util.function.Supplier;
 import org.cowslipstair.edge.backend.BackendEntry;
 import org.cowslipstair.edge.backend.BackendTable;
 import org.cowslipstair.edge.permit.PermitService;
@@ -14,6 +16,7 @@
 import org.cowslipstair.logic.placement.BackendStats;
 import org.cowslipstair.logic.quarantine.SuspectRequest;
 import org.cowslipstair.logic.traffic.TrafficStateCache;
+import org.cowslipstair.model.config.ServiceName;
 import org.cowslipstair.model.traffic.BackendInstance;
 import org.cowslipstair.model.traffic.GatewayEntry;
 import org.cowslipstair.port.ObjectFeed.Collection;
@@ -27,18 +30,21 @@
   private final StateSync sync;
   private final PermitService permits;
   private final QuarantineService quarantine;
+  private final Supplier<Map<ServiceName, Integer>> waitingRequests;
 
   StateDump(
       TrafficStateCache stateCache,
       BackendTable table,
       StateSync sync,
       PermitService permits,
-      QuarantineService quarantine) {
+      QuarantineService quarantine,
+      Supplier<Map<ServiceName, Integer>> waitingRequests) {
     this.stateCache = stateCache;
     this.table = table;
     this.sync = sync;
     this.permits = permits;
     this.quarantine = quarantine;
+    this.waitingRequests = waitingRequests;
   }
 
   /** Returns the state as JSON. Times are in milliseconds from now. */
@@ -70,6 +76,8 @@
             .sorted(Comparator.comparing(entry -> entry.stats().instance().name().value()))
             .toList();
     entries.forEach(entry -> backends.add(backend(entry, nowNs)));
+    ObjectNode waiting = root.putObject("waitingRequests");
+    waitingRequests.get().forEach((service, count) -> waiting.put(service.value(), count));
     ArrayNode suspects = root.putArray("suspectedRequests");
     quarantine.suspects().stream()
         .sorted(Comparator.comparing(suspect -> suspect.fingerprint().hex()))
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
@@ -66,7 +66,12 @@
   public ExchangeContext(Dependencies dependencies) {
     this.dependencies = dependencies;
     this.createdNs = dependencies.clock().nowNs();
-    this.waitingRoom = new WaitingRoom(dependencies.loop(), dependencies.clock());
+    this.waitingRoom =
+        new WaitingRoom(
+            dependencies.loop(),
+            dependencies.clock(),
+            dependencies.observer(),
+            dependencies.fleet().monitor());
     this.rateLimitHeader = new RateLimitHeader(dependencies.headers().rateLimit());
     this.crashDetector =
         new CrashDetector(dependencies.table(), dependencies.prober(), dependencies.clock());
@@ -160,6 +165,11 @@
     return waitingRoom;
   }
 
+  /** Returns the number of requests of each service that wait for room. */
+  public Map<ServiceName, Integer> waitingRequests() {
+    return waitingRoom.sizes();
+  }
+
   /** Returns whether a service gets requests that are more urgent than one. */
   boolean hasMoreUrgent(ServiceName service, Route route, int priority) {
     Optional<TrafficPlan> plan = table().state().plan();
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeObserver.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeObserver.java
@@ -1,6 +1,7 @@
 package org.cowslipstair.edge.exchange;
 
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.cowslipstair.logic.budget.RetryBudget;
 import org.cowslipstair.model.config.BackendName;
 import org.cowslipstair.model.config.ServiceName;
@@ -20,6 +21,12 @@
   /** The retry budget of a service was created. */
   void onRetryBudgetCreated(ServiceName service, RetryBudget budget);
 
+  /** The room for waiting requests was created; the supplier returns how many wait. */
+  void onWaitingRoomCreated(Supplier<Integer> size);
+
+  /** A request that waited for room looks for it again. */
+  void onWaited(ServiceName service, long waitedNs);
+
   /** A send has ended. */
   void onAttemptEnded(AttemptEnd end);
 
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/RoomDemand.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/RoomDemand.java
@@ -62,8 +62,9 @@
 
   private PlacementRule.Waiting waiting() {
     ExchangeDeadlines deadlines = timer.deadlines();
+    long usableNs = Math.min(deadlines.targetNs(), deadlines.finalNs()) - deadlines.arrivedNs();
     return PlacementRule.Waiting.of(
-        PlacementRule.isPatient(serviceTimeNs(), deadlines.targetNs() - deadlines.arrivedNs()),
+        PlacementRule.isPatient(serviceTimeNs(), usableNs),
         context.hasMoreUrgent(service, route, priority));
   }
 
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/WaitingRoom.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/WaitingRoom.java
@@ -7,6 +7,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import org.cowslipstair.logic.invariant.Invariant;
+import org.cowslipstair.logic.invariant.InvariantMonitor;
 import org.cowslipstair.logic.overload.Urgency;
 import org.cowslipstair.logic.overload.WaitingLine;
 import org.cowslipstair.logic.overload.WaitingTime;
@@ -24,23 +26,32 @@
 
   private final EventLoop loop;
   private final MonotonicClock clock;
+  private final ExchangeObserver observer;
+  private final InvariantMonitor monitor;
   private final Map<ServiceName, WaitingLine<Visit>> lines = new HashMap<>();
   private int waiting;
 
-  WaitingRoom(EventLoop loop, MonotonicClock clock) {
+  WaitingRoom(
+      EventLoop loop, MonotonicClock clock, ExchangeObserver observer, InvariantMonitor monitor) {
     this.loop = loop;
     this.clock = clock;
+    this.observer = observer;
+    this.monitor = monitor;
+    observer.onWaitingRoomCreated(() -> waiting);
   }
 
   /** A stay of one request until it looks for room again. */
   final class Visit {
+    private final ServiceName service;
     private final WaitingLine<Visit> line;
     private final WaitingLine.Place<Visit> place;
     private final Runnable onDue;
+    private final long enteredNs = clock.nowNs();
     private @Nullable ScheduledFuture<?> timer;
     private long dueNs;
 
-    private Visit(WaitingLine<Visit> line, Urgency urgency, Runnable onDue) {
+    private Visit(ServiceName service, WaitingLine<Visit> line, Urgency urgency, Runnable onDue) {
+      this.service = service;
       this.line = line;
       this.onDue = onDue;
       this.place = line.add(urgency, this);
@@ -59,9 +70,19 @@
         schedule(first.dueNs - latestStartNs < 0 ? first.dueNs : latestStartNs);
       }
       first.leave();
+      checkOrder(first);
+      observer.onWaited(service, clock.nowNs() - first.enteredNs);
       first.onDue.run();
     }
 
+    private void checkOrder(Visit next) {
+      boolean isMoreUrgentLeft =
+          line.first().stream()
+              .anyMatch(left -> left.urgency().compareTo(next.place.urgency()) < 0);
+      monitor.checkAtMost(
+          Invariant.URGENCY_ORDER_KEPT, service.value(), isMoreUrgentLeft ? 1 : 0, 0);
+    }
+
     /** Ends the stay without looking for room; has no effect if it has ended. */
     void leave() {
       if (line.remove(place)) {
@@ -85,15 +106,18 @@
       return Optional.empty();
     }
     waiting++;
+    monitor.checkAtMost(Invariant.WAITING_BOUNDED, service.value(), waiting, MAX_WAITING);
     WaitingLine<Visit> line = lines.computeIfAbsent(service, _ -> new WaitingLine<>());
-    Visit visit = new Visit(line, urgency, onDue);
+    Visit visit = new Visit(service, line, urgency, onDue);
     long nowNs = clock.nowNs();
     visit.schedule(nowNs + WaitingTime.untilNextNs(urgency, roomInNs, nowNs));
     return Optional.of(visit);
   }
 
-  /** Returns the number of waiting requests. */
-  int size() {
-    return waiting;
+  /** Returns the number of waiting requests of each service that has had any. */
+  Map<ServiceName, Integer> sizes() {
+    Map<ServiceName, Integer> sizes = new HashMap<>();
+    lines.forEach((service, line) -> sizes.put(service, line.size()));
+    return sizes;
   }
 }
--- a/edge/src/main/java/org/cowslipstair/edge/log/GatewayLog.java
+++ b/edge/src/main/java/org/cowslipstair/edge/log/GatewayLog.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.cowslipstair.edge.exchange.ExchangeObserver;
 import org.cowslipstair.logic.budget.RetryBudget;
 import org.cowslipstair.model.config.ServiceName;
@@ -68,6 +69,16 @@
     metrics.registerGauge("retries.left", service, budget::availableTokens);
   }
 
+  @Override
+  public void onWaitingRoomCreated(Supplier<Integer> size) {
+    metrics.registerGauge("requests.waiting", size::get);
+  }
+
+  @Override
+  public void onWaited(ServiceName service, long waitedNs) {
+    metrics.recordWait(service, waitedNs);
+  }
+
   @Override
   public void onRequestSent(Sent sent) {
     metrics.recordSend(sent.cause());
--- a/edge/src/main/java/org/cowslipstair/edge/log/GatewayMetrics.java
+++ b/edge/src/main/java/org/cowslipstair/edge/log/GatewayMetrics.java
@@ -28,6 +28,11 @@
         .record(summary.durationNs(), TimeUnit.NANOSECONDS);
   }
 
+  /** Records the time that a request waited for room before it looked again. */
+  void recordWait(ServiceName service, long waitedNs) {
+    registry.timer("waits", "service", service.value()).record(waitedNs, TimeUnit.NANOSECONDS);
+  }
+
   /** Counts a send to a backend server. */
   void recordSend(String cause) {
     registry.counter("sends", "cause", cause).increment();
--- a/lib/src/main/java/org/cowslipstair/logic/placement/PlacementRule.java
+++ b/lib/src/main/java/org/cowslipstair/logic/placement/PlacementRule.java
@@ -174,7 +174,7 @@
 
   /** Returns the monotonic time until which the request waits. */
   public long latestStartNs() {
-    return targetDeadlineNs - (long) (KEPT_SERVICE_TIMES * serviceTimeNs);
+    return Math.min(targetDeadlineNs, deadlineNs) - (long) (KEPT_SERVICE_TIMES * serviceTimeNs);
   }
 
   private boolean isGoodEnough(LatencyEstimate estimate, long nowNs) {
--- a/lib/src/test/java/org/cowslipstair/logic/overload/model/LoadModelTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/overload/model/LoadModelTest.java
@@ -73,38 +73,30 @@
     assertThat(result.toString(), result.inTimeShare(), greaterThan(0.95));
   }
 
+  /** Reads with seconds to spare are neither refused nor in the way of short uploads. */
   @Test
-  void print() {
+  void burstOfLongReadsWaitsBehindShortUploads() {
+    Policy withoutWaiting = new Policy(true, true, true, false);
     for (Fleet fleet : List.of(Fleet.RECORDS, Fleet.RECORDS.small())) {
-      System.out.println(
-          "reads before "
-              + play(Pattern.burstOfLongReads(fleet), new Policy(true, true, true, false)));
-      System.out.println("reads after " + play(Pattern.burstOfLongReads(fleet)));
-    }
-    for (Fleet fleet : List.of(Fleet.ORDERS, Fleet.ORDERS.small())) {
-      System.out.println(
-          "short before "
-              + play(Pattern.burstOfShortCalls(fleet), new Policy(true, true, true, false)));
-      System.out.println("short after " + play(Pattern.burstOfShortCalls(fleet)));
-      System.out.println(
-          "shed before "
-              + play(
-                  Pattern.sheddingToCallersThatReturnOnce(fleet),
-                  new Policy(true, true, true, true)));
-      System.out.println("shed after " + play(Pattern.sheddingToCallersThatReturnOnce(fleet)));
-      System.out.println(
-          "slow before " + play(Pattern.slowServers(fleet), new Policy(true, true, true, false)));
-      System.out.println("slow after " + play(Pattern.slowServers(fleet)));
-    }
-    for (Pattern p :
-        List.of(
-            Pattern.calm(),
-            Pattern.burst(),
-            Pattern.shedding(),
-            Pattern.zoneGoesDark(),
-            Pattern.shift())) {
-      System.out.println("before " + play(p, new Policy(true, true, true, false)));
-      System.out.println("after " + play(p));
+      Result result = play(Pattern.burstOfLongReads(fleet));
+      assertThat(result.toString(), result.counts("read").inTimeShare(), greaterThan(0.93));
+      assertThat(result.toString(), result.counts("upload").servedShare(), greaterThan(0.97));
+      assertThat(result.toString(), result.refusals, lessThan(5));
+      Result before = play(Pattern.burstOfLongReads(fleet), withoutWaiting);
+      assertThat(before.toString(), before.counts("read").inTimeShare(), lessThan(0.93));
+      assertThat(before.toString(), before.refusals, greaterThan(40));
     }
   }
+
+  /** At the knee, and beside slow servers, short calls must not wait for each other. */
+  @Test
+  void shortCallsAreSentOrRefusedAtOnce() {
+    Result burst = play(Pattern.burstOfShortCalls(Fleet.ORDERS));
+    assertThat(burst.toString(), burst.inTimeShare(), greaterThan(0.95));
+    Result slow = play(Pattern.slowServers(Fleet.ORDERS));
+    assertThat(slow.toString(), slow.inTimeShare(), greaterThan(0.93));
+    Result shedding = play(Pattern.sheddingToCallersThatReturnOnce(Fleet.ORDERS));
+    assertThat(shedding.toString(), shedding.inTimeShare(), greaterThan(0.7));
+    assertThat(burst.waits + slow.waits + shedding.waits, lessThan(50));
+  }
 }
--- a/lib/src/test/java/org/cowslipstair/logic/placement/PlacementRuleTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/placement/PlacementRuleTest.java
@@ -195,6 +195,16 @@
     assertThat(patient.next(best, NOTHING, laterNs), is(Step.SELECT));
   }
 
+  /** A caller that waits for less time than the target latency is not held beyond that. */
+  @Test
+  void requestDoesNotWaitBeyondItsDeadline() {
+    PlacementRule rule =
+        new PlacementRule(
+            SERVICE_TIME_NS, 2 * DEADLINE_NS, 0, DEADLINE_NS, false, Waiting.WHILE_IN_TIME);
+    assertThat(rule.latestStartNs(), lessThan(DEADLINE_NS));
+    assertThat(rule.next(Optional.of(local(FULL)), NOTHING, DEADLINE_NS), is(Step.REFUSE_NO_ROOM));
+  }
+
   /** A burst beyond the capacity: if all wait, all are served late. */
   @Test
   void onlyPatientRequestsWait() {
