--- a/lib/src/main/java/org/cowslipstair/logic/placement/PlacementRule.java
+++ b/lib/src/main/java/org/cowslipstair/logic/placement/PlacementRule.java
@@ -115,9 +115,12 @@
    */
   public record Remaining(boolean hasLocal, boolean hasInOtherZones, boolean hasPendingProbes) {}
 
-  /** Returns whether a backend server is so good that no others need to be probed. */
+  /**
+   * Returns whether a backend server is so good that no others need to be probed: it is fast, and
+   * the request is expected to be in time there.
+   */
   public boolean isGood(LatencyEstimate estimate, long nowNs) {
-    return isFast(estimate) && !spares(estimate, nowNs);
+    return isFast(estimate) && (isHedge || prospect(estimate, nowNs) == Prospect.IN_TIME);
   }
 
   private static boolean isFast(LatencyEstimate estimate) {
