--- a/edge/src/main/java/org/cowslipstair/edge/exchange/BackendSelection.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/BackendSelection.java
@@ -106,9 +106,7 @@
   /** Starts the first round of probes. */
   void start() {
     if (candidates.isEmpty()) {
-      finished = true;
-      listener.onNoneSelected(
-          eligibility.unreachableReason(), eligibility.availableInNs(), detail());
+      onRoundEnd();
       return;
     }
     startRound(!candidates.hasLocal());
@@ -354,7 +352,13 @@
     listener.onNoneSelected(reason, roomInNs(), detail());
   }
 
+  /** Servers that are gone, limit their rate or pause say by themselves when to return. */
   private void defer() {
+    NotRunReason reason = eligibility.unreachableReason();
+    if (rankedBackends.isEmpty() && reason != NotRunReason.BACKEND_UNREACHABLE) {
+      refuse(reason);
+      return;
+    }
     finish();
     releaseConnectionsExcept(null);
     listener.onDeferred(roomInNs(), detail());
--- a/lib/src/main/java/org/cowslipstair/logic/placement/PlacementRule.java
+++ b/lib/src/main/java/org/cowslipstair/logic/placement/PlacementRule.java
@@ -37,7 +37,8 @@
 
   /**
    * Time until the target, in usual service times, from which a request is patient: it can be
-   * delayed by its whole work and still be in time.
+   * delayed by its whole work and still be in time. What {@link ServiceTimes} assumes before the
+   * first measurement is included: waiting is a smaller mistake than refusing.
    */
   private static final double PATIENT_FROM = 2.5;
 
@@ -142,12 +143,12 @@
     if (hasTime && remaining.hasPendingProbes && best.isEmpty()) {
       return Step.AWAIT_RESPONSES;
     }
+    if (isWorthWaiting(best, nowNs)) {
+      return Step.WAIT;
+    }
     if (best.isEmpty()) {
       return Step.REFUSE_UNREACHABLE;
     }
-    if (isWorthWaiting(best.get().estimate, nowNs)) {
-      return Step.WAIT;
-    }
     return isWorthSending(best.get().estimate, nowNs) ? Step.SELECT : Step.REFUSE_NO_ROOM;
   }
 
@@ -163,16 +164,16 @@
         : estimate.hasFreeSlot() || prospect(estimate, nowNs) == Prospect.IN_TIME;
   }
 
-  private boolean isWorthWaiting(LatencyEstimate estimate, long nowNs) {
+  private boolean isWorthWaiting(Optional<Option> best, long nowNs) {
     if (waiting == Waiting.NONE || isHedge || latestStartNs() <= nowNs) {
       return false;
     }
-    return prospect(estimate, nowNs) != Prospect.IN_TIME;
+    return best.isEmpty() || prospect(best.get().estimate, nowNs) != Prospect.IN_TIME;
   }
 
   /** Returns whether a request with this time until its target can bear a delay. */
   public static boolean isPatient(double serviceTimeNs, long untilTargetNs) {
-    return PATIENT_FROM * serviceTimeNs <= untilTargetNs;
+    return (long) (PATIENT_FROM * serviceTimeNs) <= untilTargetNs;
   }
 
   /** Returns the monotonic time until which the request waits. */
--- a/lib/src/main/java/org/cowslipstair/logic/placement/ServiceTimes.java
+++ b/lib/src/main/java/org/cowslipstair/logic/placement/ServiceTimes.java
@@ -3,9 +3,12 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** Moving averages of the service times of the requests of each route at backend servers. */
+/**
+ * Moving averages of the service times of the requests of each route at backend servers. The first
+ * measurements weigh more, since a gateway sees few requests of some routes.
+ */
 public final class ServiceTimes {
-  /** Weight of the newest service time. */
+  /** Minimum weight of the newest service time. */
   private static final double NEWEST_WEIGHT = 0.05;
 
   /** Service time assumed before the first measurement, as a share of the target latency. */
@@ -13,17 +16,30 @@
 
   private static final double NS_PER_MS = 1e6;
 
-  private final Map<String, Double> averagesNs = new HashMap<>();
+  private final Map<String, Average> averages = new HashMap<>();
+
+  private record Average(double ns, int count) {
+    Average with(long serviceTimeNs) {
+      // What was assumed counts as one measurement.
+      double weight = Math.max(NEWEST_WEIGHT, 1.0 / (count + 2));
+      return new Average(ns + weight * (serviceTimeNs - ns), count + 1);
+    }
+  }
 
   /** Adds the service time of a successful response. */
   public void record(String route, long targetLatencyMs, long serviceTimeNs) {
-    double previousNs = averageNs(route, targetLatencyMs);
-    averagesNs.put(route, previousNs + NEWEST_WEIGHT * (serviceTimeNs - previousNs));
+    Average previous = averages.get(route);
+    Average start = previous == null ? new Average(initialNs(targetLatencyMs), 0) : previous;
+    averages.put(route, start.with(serviceTimeNs));
   }
 
   /** Returns the average service time of a route, in nanoseconds. */
   public double averageNs(String route, long targetLatencyMs) {
-    Double averageNs = averagesNs.get(route);
-    return averageNs == null ? targetLatencyMs * NS_PER_MS * INITIAL_SHARE_OF_TARGET : averageNs;
+    Average average = averages.get(route);
+    return average == null ? initialNs(targetLatencyMs) : average.ns;
+  }
+
+  private static double initialNs(long targetLatencyMs) {
+    return targetLatencyMs * NS_PER_MS * INITIAL_SHARE_OF_TARGET;
   }
 }
