--- a/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
+++ b/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
@@ -19,6 +19,9 @@
 import org.cowslipstair.edge.peer.PeerNetwork;
 import org.cowslipstair.edge.permit.PermitService;
 import org.cowslipstair.edge.quarantine.QuarantineService;
+import org.cowslipstair.edge.quota.QuotaLimits;
+import org.cowslipstair.edge.quota.QuotaService;
+import org.cowslipstair.edge.quota.QuotaStep;
 import org.cowslipstair.edge.relay.StateSync;
 import org.cowslipstair.edge.sync.CountingFeed;
 import org.cowslipstair.logic.budget.ColdSendLimiter;
@@ -84,6 +87,7 @@
   private final ColdSendLimiter coldSendLimiter;
   private final PermitService permits;
   private final QuarantineService quarantine;
+  private final QuotaService quotas;
   private PermitService.Fleet fleet = new PermitService.Fleet(List.of(), List.of());
   private boolean gaugesRegistered;
   private volatile CallerServer callerServer;
@@ -112,6 +116,7 @@
             () -> fleet,
             network);
     this.quarantine = createQuarantine(network);
+    this.quotas = createQuotas(network);
     this.stateSync =
         new StateSync(settings, components.with(feed), stateCache, this::applyState, network);
     this.probeRateLimiter =
@@ -137,7 +142,7 @@
                     permits,
                     quarantine,
                     new CandidateOrder(settings.name(), settings.zone(), components.random()),
-                    List.of(),
+                    List.of(QuotaStep.factory(quotas, components.clock())),
                     components.monitor()),
                 log));
     this.callerContext =
@@ -147,6 +152,7 @@
             table,
             components.headers(),
             components.clock(),
+            stateSync::isCurrent,
             settings.limits().maxMemoryBytes() / BODY_MEMORY_DIVISOR);
   }
 
@@ -167,6 +173,12 @@
         network);
   }
 
+  private QuotaService createQuotas(PeerNetwork network) {
+    QuotaLimits limits =
+        new QuotaLimits(() -> settings.policies().quota(), () -> table.state().plan());
+    return QuotaService.create(settings, components, limits, () -> fleet.names(), network);
+  }
+
   /**
    * Starts a gateway; it is ready once it has read the configuration.
    *
@@ -209,7 +221,13 @@
 
   private String stateJson() {
     return new StateDump(
-            stateCache, table, stateSync, permits, quarantine, exchangeContext::waitingRequests)
+            stateCache,
+            table,
+            stateSync,
+            permits,
+            quarantine,
+            quotas,
+            exchangeContext::waitingRequests)
         .json(settings, isReady(), callerContext.connectionCount(), components.clock().nowNs());
   }
 
@@ -240,6 +258,7 @@
     metrics.registerGauge("probes.over.budget", probeRateLimiter::refusedCount);
     metrics.registerGauge("cold.sends", coldSendLimiter::sentCount);
     metrics.registerGauge("permits.issued", permits::issuedCount);
+    quotas.registerGauges(metrics);
     metrics.registerGauge("requests.suspected", () -> quarantine.suspects().size());
     metrics.registerGauge("requests.held.back", quarantine::heldBackCount);
     metrics.registerGauge(
@@ -277,6 +296,7 @@
     if (gateways != fleet.gateways()) {
       fleet = new PermitService.Fleet(gateways, gateways.stream().map(GatewayEntry::name).toList());
     }
+    quotas.onConfiguration();
     int gatewayCount = gateways.size();
     table.setGatewayCount(gatewayCount);
     probeRateLimiter.setShare(Math.max(1, state.backends().size()), gatewayCount);
--- a/edge/src/main/java/org/cowslipstair/edge/StateDump.java
+++ b/edge/src/main/java/org/cowslipstair/edge/StateDump.java
@@ -12,13 +12,17 @@
 import org.cowslipstair.edge.backend.BackendTable;
 import org.cowslipstair.edge.permit.PermitService;
 import org.cowslipstair.edge.quarantine.QuarantineService;
+import org.cowslipstair.edge.quota.QuotaService;
+import org.cowslipstair.edge.quota.QuotaStatus;
 import org.cowslipstair.edge.relay.StateSync;
 import org.cowslipstair.logic.placement.BackendStats;
 import org.cowslipstair.logic.quarantine.SuspectRequest;
+import org.cowslipstair.logic.quota.QuotaIssuer;
 import org.cowslipstair.logic.traffic.TrafficStateCache;
 import org.cowslipstair.model.config.ServiceName;
 import org.cowslipstair.model.traffic.BackendInstance;
 import org.cowslipstair.model.traffic.GatewayEntry;
+import org.cowslipstair.model.traffic.TrafficPlan;
 import org.cowslipstair.port.ObjectFeed.Collection;
 
 /** Writes the state of a gateway as JSON for operators. Used on the event loop only. */
@@ -30,6 +34,7 @@
   private final StateSync sync;
   private final PermitService permits;
   private final QuarantineService quarantine;
+  private final QuotaService quotas;
   private final Supplier<Map<ServiceName, Integer>> waitingRequests;
 
   StateDump(
@@ -38,12 +43,14 @@
       StateSync sync,
       PermitService permits,
       QuarantineService quarantine,
+      QuotaService quotas,
       Supplier<Map<ServiceName, Integer>> waitingRequests) {
     this.stateCache = stateCache;
     this.table = table;
     this.sync = sync;
     this.permits = permits;
     this.quarantine = quarantine;
+    this.quotas = quotas;
     this.waitingRequests = waitingRequests;
   }
 
@@ -53,6 +60,8 @@
     root.put("name", settings.name()).put("zone", settings.zone().value()).put("ready", isReady);
     root.put("callerConnections", callerConnections);
     root.put("configurationVersion", table.state().plan().map(plan -> plan.version()).orElse(0L));
+    ArrayNode tenants = root.putArray("tenants");
+    table.state().plan().ifPresent(plan -> addTenants(tenants, plan));
     ObjectNode revisions = root.putObject("revisions");
     for (Collection collection : Collection.values()) {
       revisions.put(collection.name().toLowerCase(Locale.ROOT), stateCache.revision(collection));
@@ -62,6 +71,7 @@
     relay
         .put("watchesStore", sync.isWatching())
         .put("isSupplied", sync.isSupplied())
+        .put("stateIsCurrent", sync.isCurrent())
         .put("supplies", sync.subscriberCount());
     sync.proofAgeMs().ifPresent(ageMs -> relay.put("storeProofAgeMs", ageMs));
     ObjectNode suppliers = relay.putObject("proofAgeMsBySupplier");
@@ -82,9 +92,44 @@
     quarantine.suspects().stream()
         .sorted(Comparator.comparing(suspect -> suspect.fingerprint().hex()))
         .forEach(suspect -> suspects.add(suspect(suspect, nowNs)));
+    putQuota(root.putObject("quota"), quotas.status(), nowNs);
     return root.toPrettyString();
   }
 
+  private static void putQuota(ObjectNode node, QuotaStatus status, long nowNs) {
+    status.lentTo().ifPresent(gateway -> node.put("shareLentTo", gateway));
+    node.put("shareOfFleetLentHere", status.lentShare())
+        .put("granted", status.grantedCount())
+        .put("denied", status.deniedCount())
+        .put("forwarded", status.forwardedCount())
+        .put("unanswered", status.unansweredCount())
+        .put("refused", status.refusedCount());
+    ArrayNode tenants = node.putArray("topTenantsIssuedHere");
+    for (QuotaIssuer.Usage usage : status.topUsages()) {
+      tenants
+          .addObject()
+          .put("name", usage.tenant().value())
+          .put("requestsPerSecond", usage.bounds().quota().requestsPerSecond())
+          .put("burst", usage.bounds().quota().burstRequests())
+          .put("issuedInWindow", usage.issuedInWindow())
+          .put("available", usage.tokens())
+          .put("lastIssuedMs", (nowNs - usage.lastIssuedNs()) / NS_PER_MS);
+    }
+  }
+
+  /** Adds the tenants with the numbers of their keys; no dump has a key or its digest. */
+  private static void addTenants(ArrayNode nodes, TrafficPlan plan) {
+    plan.tenants().stream()
+        .sorted(Comparator.comparing(tenant -> tenant.name().value()))
+        .forEach(
+            tenant ->
+                nodes
+                    .addObject()
+                    .put("name", tenant.name().value())
+                    .put("keys", tenant.keys().size())
+                    .put("keysOfOthersToo", plan.sharedKeyCount(tenant)));
+  }
+
   private ObjectNode suspect(SuspectRequest suspect, long nowNs) {
     ObjectNode node = JsonNodeFactory.instance.objectNode();
     node.put("fingerprint", suspect.fingerprint().hex())
--- a/edge/src/test/java/org/cowslipstair/edge/ScriptedBackend.java
+++ b/edge/src/test/java/org/cowslipstair/edge/ScriptedBackend.java
@@ -24,6 +24,7 @@
 final class ScriptedBackend implements AutoCloseable {
   private static final int BACKLOG = 64;
   final List<ReceivedRequest> receivedRequests = new CopyOnWriteArrayList<>();
+  final List<String> receivedLines = new CopyOnWriteArrayList<>();
   final List<Long> arrivalsNs = new CopyOnWriteArrayList<>();
   final List<Long> crashesNs = new CopyOnWriteArrayList<>();
   final List<String> unexpectedLines = new CopyOnWriteArrayList<>();
@@ -31,6 +32,7 @@
   final String id;
   volatile String load = "0,0,3,100";
   volatile String healthHeaders = "";
+  volatile String healthStatusLine = "HTTP/1.1 200 OK";
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
   private final int port;
   private volatile ServerSocket server;
@@ -147,6 +149,7 @@
           return;
         }
         arrivalsNs.add(System.nanoTime());
+        receivedLines.addAll(head);
         ReceivedRequest request =
             new ReceivedRequest(head.getFirst(), head.subList(1, head.size()), "", connection);
         if (request.line().startsWith("GET /healthz ")) {
@@ -189,8 +192,9 @@
   interface EarlyResponseScript extends Script {}
 
   private String healthResponse() {
-    return "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n%sContent-Length: 0\r\n\r\n"
+    return "%s\r\n%s: %s\r\n%s: %s\r\n%sContent-Length: 0\r\n\r\n"
         .formatted(
+            healthStatusLine,
             GatewayFixture.HEADERS.instance(),
             id,
             GatewayFixture.HEADERS.load(),
