--- a/lib/src/main/java/org/cowslipstair/logic/placement/PlacementRule.java
+++ b/lib/src/main/java/org/cowslipstair/logic/placement/PlacementRule.java
@@ -116,12 +116,9 @@
    */
   public record Remaining(boolean hasLocal, boolean hasInOtherZones, boolean hasPendingProbes) {}
 
-  /**
-   * Returns whether a backend server is so good that no others need to be probed: it is fast, and
-   * the request is expected to be in time there.
-   */
+  /** Returns whether a backend server is so good that no others need to be probed. */
   public boolean isGood(LatencyEstimate estimate, long nowNs) {
-    return isFast(estimate) && (isHedge || prospect(estimate, nowNs) == Prospect.IN_TIME);
+    return isFast(estimate) && !spares(estimate, nowNs);
   }
 
   private static boolean isFast(LatencyEstimate estimate) {
