--- a/lib/src/main/java/org/cowslipstair/logic/placement/PlacementRule.java
+++ b/lib/src/main/java/org/cowslipstair/logic/placement/PlacementRule.java
@@ -42,6 +42,12 @@
    */
   private static final double PATIENT_FROM = 2.5;
 
+  /**
+   * Minimum slack of a patient request. Within less, a gateway with a fraction of a core looks once
+   * or twice and finds the same backend servers busy.
+   */
+  private static final double MIN_SLACK_NS = 250e6;
+
   /** Expected outcome of a request on a backend server, best first. */
   public enum Prospect {
     /** The response is expected within the target latency. */
@@ -170,7 +176,8 @@
 
   /** Returns whether a request with this time until its target can bear a delay. */
   public static boolean isPatient(double serviceTimeNs, long untilTargetNs) {
-    return (long) (PATIENT_FROM * serviceTimeNs) <= untilTargetNs;
+    return (long) (PATIENT_FROM * serviceTimeNs) <= untilTargetNs
+        && KEPT_SERVICE_TIMES * serviceTimeNs + MIN_SLACK_NS <= untilTargetNs;
   }
 
   /** Returns the monotonic time until which the request waits. */
