--- a/edge/src/main/java/org/cowslipstair/edge/exchange/BackendSelection.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/BackendSelection.java
@@ -352,13 +352,7 @@
     listener.onNoneSelected(reason, roomInNs(), detail());
   }
 
-  /** Servers that are gone, limit their rate or pause say by themselves when to return. */
   private void defer() {
-    NotRunReason reason = eligibility.unreachableReason();
-    if (rankedBackends.isEmpty() && reason != NotRunReason.BACKEND_UNREACHABLE) {
-      refuse(reason);
-      return;
-    }
     finish();
     releaseConnectionsExcept(null);
     listener.onDeferred(roomInNs(), detail());
--- a/lib/src/main/java/org/cowslipstair/logic/placement/PlacementRule.java
+++ b/lib/src/main/java/org/cowslipstair/logic/placement/PlacementRule.java
@@ -146,12 +146,12 @@
     if (hasTime && remaining.hasPendingProbes && best.isEmpty()) {
       return Step.AWAIT_RESPONSES;
     }
-    if (isWorthWaiting(best, nowNs)) {
-      return Step.WAIT;
-    }
     if (best.isEmpty()) {
       return Step.REFUSE_UNREACHABLE;
     }
+    if (isWorthWaiting(best.get().estimate, nowNs)) {
+      return Step.WAIT;
+    }
     return isWorthSending(best.get().estimate, nowNs) ? Step.SELECT : Step.REFUSE_NO_ROOM;
   }
 
@@ -177,11 +177,11 @@
         : estimate.hasFreeSlot() || prospect(estimate, nowNs) == Prospect.IN_TIME;
   }
 
-  private boolean isWorthWaiting(Optional<Option> best, long nowNs) {
+  private boolean isWorthWaiting(LatencyEstimate estimate, long nowNs) {
     if (waiting == Waiting.NONE || isHedge || latestStartNs() <= nowNs) {
       return false;
     }
-    return best.isEmpty() || prospect(best.get().estimate, nowNs) != Prospect.IN_TIME;
+    return prospect(estimate, nowNs) != Prospect.IN_TIME;
   }
 
   /** Returns whether a request with this time until its target can bear a delay. */
