--- a/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
+++ b/edge/src/main/java/org/cowslipstair/edge/FrontGateway.java
@@ -13,7 +13,6 @@
 import org.cowslipstair.edge.caller.CallerServer;
 import org.cowslipstair.edge.exchange.ExchangeContext;
 import org.cowslipstair.edge.http.ServerConnector;
-import org.cowslipstair.edge.log.BoundedAppender;
 import org.cowslipstair.edge.log.GatewayLog;
 import org.cowslipstair.edge.log.GatewayMetrics;
 import org.cowslipstair.edge.peer.PeerNetwork;
@@ -23,6 +22,8 @@
 import org.cowslipstair.edge.quota.QuotaService;
 import org.cowslipstair.edge.quota.QuotaStep;
 import org.cowslipstair.edge.relay.StateSync;
+import org.cowslipstair.edge.rollout.RolloutService;
+import org.cowslipstair.edge.rollout.VersionRouting;
 import org.cowslipstair.edge.sync.CountingFeed;
 import org.cowslipstair.logic.budget.ColdSendLimiter;
 import org.cowslipstair.logic.budget.ProbeRateLimiter;
@@ -88,6 +89,7 @@
   private final PermitService permits;
   private final QuarantineService quarantine;
   private final QuotaService quotas;
+  private final Optional<RolloutService> rollouts;
   private PermitService.Fleet fleet = new PermitService.Fleet(List.of(), List.of());
   private boolean gaugesRegistered;
   private volatile CallerServer callerServer;
@@ -106,17 +108,10 @@
     this.table = createTable(components, connector);
     PeerNetwork network =
         new PeerNetwork(components.loop(), components.clock(), name -> fleet.address(name));
-    this.permits =
-        new PermitService(
-            settings.name(),
-            components.loop(),
-            components.clock(),
-            new RateLimitCoordinator(settings.name(), components.monitor()),
-            table,
-            () -> fleet,
-            network);
+    this.permits = createPermits(network);
     this.quarantine = createQuarantine(network);
     this.quotas = createQuotas(network);
+    this.rollouts = createRollouts(feed, network);
     this.stateSync =
         new StateSync(settings, components.with(feed), stateCache, this::applyState, network);
     this.probeRateLimiter =
@@ -141,6 +136,7 @@
                     coldSendLimiter,
                     permits,
                     quarantine,
+                    rollouts.<VersionRouting>map(r -> r).orElseGet(VersionRouting::unrestricted),
                     new CandidateOrder(settings.name(), settings.zone(), components.random()),
                     List.of(QuotaStep.factory(quotas, components.clock())),
                     components.monitor()),
@@ -161,6 +157,29 @@
         connector, new NoticeReader(components.headers()), components.random(), components.clock());
   }
 
+  private Optional<RolloutService> createRollouts(ObjectFeed feed, PeerNetwork network) {
+    return settings
+        .policies()
+        .rollout()
+        .map(
+            policy ->
+                new RolloutService(
+                    new RolloutService.Peers(settings.name(), () -> fleet.names(), network),
+                    components.with(feed),
+                    policy));
+  }
+
+  private PermitService createPermits(PeerNetwork network) {
+    return new PermitService(
+        settings.name(),
+        components.loop(),
+        components.clock(),
+        new RateLimitCoordinator(settings.name(), components.monitor()),
+        table,
+        () -> fleet,
+        network);
+  }
+
   private QuarantineService createQuarantine(PeerNetwork network) {
     return new QuarantineService(
         settings.name(),
@@ -227,6 +246,7 @@
             permits,
             quarantine,
             quotas,
+            rollouts,
             exchangeContext::waitingRequests)
         .json(settings, isReady(), callerContext.connectionCount(), components.clock().nowNs());
   }
@@ -234,61 +254,32 @@
   private String metrics(GatewayMetrics metrics) {
     if (!gaugesRegistered) {
       gaugesRegistered = true;
-      registerGauges(metrics);
+      new GatewayGauges(
+              stateCache,
+              table,
+              stateSync,
+              probeRateLimiter,
+              coldSendLimiter,
+              permits,
+              quarantine,
+              quotas,
+              rollouts,
+              callerContext,
+              () -> fleet.names().size(),
+              components.clock())
+          .register(metrics);
     }
     return metrics.text();
   }
 
-  /**
-   * Registers gauges that are read on the event loop, which also serves the metrics. Done at the
-   * first scrape, since it would lengthen a start by a tenth.
-   */
-  private void registerGauges(GatewayMetrics metrics) {
-    metrics.registerGauge("log.lines.dropped", BoundedAppender::droppedLines);
-    metrics.registerGauge(
-        "configuration.version", () -> table.state().plan().map(p -> p.version()).orElse(0L));
-    metrics.registerGauge(
-        "store.epoch", () -> stateCache.position(Collection.CONFIGURATION).epoch());
-    metrics.registerGauge(
-        "store.revision.backends", () -> stateCache.revision(Collection.BACKENDS));
-    metrics.registerGauge("backends.known", () -> table.entries().size());
-    metrics.registerGauge("gateways.known", () -> fleet.names().size());
-    metrics.registerGauge("callers.open", callerContext::connectionCount);
-    metrics.registerGauge("probes.sent", probeRateLimiter::acquiredCount);
-    metrics.registerGauge("probes.over.budget", probeRateLimiter::refusedCount);
-    metrics.registerGauge("cold.sends", coldSendLimiter::sentCount);
-    metrics.registerGauge("permits.issued", permits::issuedCount);
-    quotas.registerGauges(metrics);
-    metrics.registerGauge("requests.suspected", () -> quarantine.suspects().size());
-    metrics.registerGauge("requests.held.back", quarantine::heldBackCount);
-    metrics.registerGauge(
-        "backends.limited",
-        () -> table.entries().stream().filter(e -> e.stats().rateLimit().isPresent()).count());
-    metrics.registerGauge(
-        "backends.leaving.by.notice",
-        () -> table.entries().stream().filter(e -> e.stats().notices().isLeaving()).count());
-    metrics.registerGauge(
-        "backends.paused",
-        () ->
-            table.entries().stream()
-                .filter(e -> e.stats().notices().isPaused(components.clock().nowNs()))
-                .count());
-    metrics.registerGauge(
-        "limited.requests.sent",
-        () -> table.entries().stream().mapToLong(e -> e.stats().limitedRequestCount()).sum());
-    metrics.registerGauge(
-        "limited.probes.sent",
-        () -> table.entries().stream().mapToLong(e -> e.stats().limitedProbeCount()).sum());
-    metrics.registerGauge("relay.subscribers", stateSync::subscriberCount);
-    metrics.registerGauge("relay.watching", () -> stateSync.isWatching() ? 1 : 0);
-    metrics.registerGauge("relay.supplied", () -> stateSync.isSupplied() ? 1 : 0);
-  }
-
   private void applyState() {
     for (TrafficStateCache.Fault fault : stateCache.drainFaults()) {
       LOG.warnf(
           "store: %s \"%s\" cannot be read: %s", fault.collection(), fault.name(), fault.reason());
     }
+    if (rollouts.filter(r -> !r.maySend(stateCache.revision(Collection.ROLLOUTS))).isPresent()) {
+      return;
+    }
     TrafficState state = stateCache.state(components.clock().nowNs());
     logNewConfiguration(state);
     table.update(state);
@@ -297,6 +288,7 @@
       fleet = new PermitService.Fleet(gateways, gateways.stream().map(GatewayEntry::name).toList());
     }
     quotas.onConfiguration();
+    rollouts.ifPresent(r -> r.update(stateCache.items(Collection.ROLLOUTS), state.backends()));
     int gatewayCount = gateways.size();
     table.setGatewayCount(gatewayCount);
     probeRateLimiter.setShare(Math.max(1, state.backends().size()), gatewayCount);
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
@@ -167,7 +167,8 @@
     mayHaveRunCount++;
     triedBackends.add(entry.stats().instance().name());
     preparation.recordRoomAfterSend(selected);
-    Attempt attempt = new Attempt(context, entry, connection, this);
+    Attempt attempt =
+        new Attempt(context, entry, connection, context.recordSent(route, entry), this);
     activeAttempts.add(attempt);
     context.reportSent(message, selected, cause, timer.deadlines().finalNs());
     attempt.send(message, timer.deadlines().finalNs());
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/RoomDemand.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/RoomDemand.java
@@ -73,13 +73,14 @@
    *
    * @param excluded backend servers that must not be selected
    */
-  BackendSelection.Criteria criteria(Set<BackendName> excluded, boolean isHedge) {
+  SelectionCriteria criteria(Set<BackendName> excluded, boolean isHedge) {
     PlacementRule rule =
         timer
             .deadlines()
             .placementRule(serviceTimeNs(), isHedge, waiting(), hasWaited, context.nowNs());
     Urgency urgency = new Urgency(priority, rule.latestStartNs(), serviceTimeNs());
-    return new BackendSelection.Criteria(service, Set.copyOf(excluded), rule, urgency);
+    return new SelectionCriteria(
+        service, Set.copyOf(excluded), rule, context.fleet().versions().choose(service), urgency);
   }
 
   /** Returns the refusal with the time at which another gateway could run the request, if any. */
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/SendPreparation.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/SendPreparation.java
@@ -40,7 +40,7 @@
   }
 
   /** Starts the selection of a backend server. */
-  void start(BackendSelection.Criteria criteria, String cause, boolean isHedge) {
+  void start(SelectionCriteria criteria, String cause, boolean isHedge) {
     BackendSelection newSelection =
         new BackendSelection(
             context,
@@ -64,24 +64,35 @@
               public void onNoneSelected(
                   NotRunReason reason, OptionalLong newRoomInNs, String selectionDetail) {
                 selection = null;
-                roomInNs = newRoomInNs;
-                detail = selectionDetail;
-                listener.onNoneSelected(reason, isHedge);
+                if (!startAlternative(criteria, cause, isHedge)) {
+                  roomInNs = newRoomInNs;
+                  detail = selectionDetail;
+                  listener.onNoneSelected(reason, isHedge);
+                }
               }
 
               @Override
               public void onDeferred(OptionalLong newRoomInNs, String selectionDetail) {
                 selection = null;
-                roomInNs = newRoomInNs;
-                detail = selectionDetail;
-                waitForRoom(criteria, cause);
+                if (!startAlternative(criteria, cause, isHedge)) {
+                  roomInNs = newRoomInNs;
+                  detail = selectionDetail;
+                  waitForRoom(criteria, cause);
+                }
               }
             });
     selection = newSelection;
     newSelection.start();
   }
 
-  private void waitForRoom(BackendSelection.Criteria criteria, String cause) {
+  /** Looks among other versions of the service, if they may be selected too. */
+  private boolean startAlternative(SelectionCriteria criteria, String cause, boolean isHedge) {
+    Optional<SelectionCriteria> alternative = criteria.alternative();
+    alternative.ifPresent(other -> start(other, cause, isHedge));
+    return alternative.isPresent();
+  }
+
+  private void waitForRoom(SelectionCriteria criteria, String cause) {
     Optional<WaitingRoom.Visit> entered =
         context
             .waitingRoom()
--- a/edge/src/main/java/org/cowslipstair/edge/quota/QuotaService.java
+++ b/edge/src/main/java/org/cowslipstair/edge/quota/QuotaService.java
@@ -14,6 +14,7 @@
 import org.cowslipstair.logic.quota.QuotaCoordinator;
 import org.cowslipstair.logic.quota.QuotaIssuer;
 import org.cowslipstair.logic.quota.ShareOffer;
+import org.cowslipstair.logic.quota.StartAllowance;
 import org.cowslipstair.model.tenant.Quota;
 import org.cowslipstair.model.tenant.QuotaPolicy;
 import org.cowslipstair.model.tenant.TenantName;
@@ -26,15 +27,16 @@
  */
 public final class QuotaService implements PeerNetwork.Service {
   /** Time between two messages by which this gateway lends its share. */
-  private static final long RENEWAL_INTERVAL_MS = 300;
+  private static final long RENEWAL_INTERVAL_MS = 200;
 
   /** Minimum and maximum time in which a reply is awaited. */
   private static final long MIN_REPLY_NS = 50_000_000L;
 
-  private static final long MAX_REPLY_NS = 200_000_000L;
+  /** A gateway that takes longer counts as silent; one that has just started may need this long. */
+  private static final long MAX_REPLY_NS = 400_000_000L;
 
-  /** Number of requests for one permit; after a time without a reply another gateway is asked. */
-  private static final int MAX_ATTEMPTS = 3;
+  /** Number of requests for one permit; the first one to an issuer cannot bring a share yet. */
+  private static final int MAX_ATTEMPTS = 2;
 
   /** Time after which a caller should return if no issuer responds. */
   private static final long NO_ISSUER_RETURN_NS = 500_000_000L;
@@ -49,14 +51,20 @@
   private final QuotaLog log;
   private final DenialMemory denials = new DenialMemory();
   private final QuotaRequests requests;
+  private final StartAllowance startAllowance;
   private boolean isStarted;
+  private boolean isRenewing;
   private long forwardedCount;
   private long refusedCount;
 
   /** Receives the result of a request for a permit; exactly one method is called, once. */
   interface Listener {
-    /** One request may run. */
-    void onGranted();
+    /**
+     * One request may run.
+     *
+     * @param isIssued whether an issuer counts the request, so that it can be given back
+     */
+    void onGranted(boolean isIssued);
 
     /**
      * No permit is available.
@@ -81,7 +89,7 @@
     QuotaCoordinator coordinator =
         QuotaCoordinator.create(
             settings.name(),
-            components.random().nextLong(),
+            components.random(),
             settings.relay().firstStart(),
             components.monitor(),
             components.clock().nowNs());
@@ -90,6 +98,7 @@
         components.loop(),
         components.clock(),
         coordinator,
+        new StartAllowance(settings.relay().firstStart(), components.clock().nowNs()),
         limits,
         gateways,
         network);
@@ -100,6 +109,7 @@
       EventLoop loop,
       MonotonicClock clock,
       QuotaCoordinator coordinator,
+      StartAllowance startAllowance,
       QuotaLimits limits,
       Supplier<List<String>> gateways,
       PeerNetwork network) {
@@ -110,8 +120,9 @@
     this.limits = limits;
     this.gateways = gateways;
     this.network = network;
+    this.startAllowance = startAllowance;
     this.log = new QuotaLog(coordinator.issuer());
-    this.requests = new QuotaRequests(self, loop, network, this::onSilence);
+    this.requests = new QuotaRequests(self, loop, network, MAX_REPLY_NS, this::onSilence);
     network.register(this);
   }
 
@@ -131,7 +142,7 @@
   private long renewAndReconnect() {
     if (limits.hasQuotas()) {
       long nowNs = clock.nowNs();
-      coordinator.skipped(gateways.get(), network::isUnreachable, nowNs).forEach(network::open);
+      coordinator.toReach(gateways.get(), network::isUnreachable, nowNs).forEach(network::open);
       renew();
     }
     return RENEWAL_INTERVAL_MS;
@@ -192,7 +203,7 @@
    * @param waitNs time that the request may wait for the permit
    */
   void acquire(TenantName tenant, Quota quota, long waitNs, Listener listener) {
-    long replyNs = Math.clamp(waitNs / 2, MIN_REPLY_NS, MAX_REPLY_NS);
+    long replyNs = Math.clamp(waitNs, MIN_REPLY_NS, MAX_REPLY_NS);
     QuotaMessage.Wanted wanted = new QuotaMessage.Wanted(tenant, quota, limits.planVersion());
     acquire(wanted, MAX_ATTEMPTS, replyNs, listener);
   }
@@ -206,7 +217,7 @@
     Optional<String> issuer =
         coordinator.issuerToAsk(gateways.get(), network::isUnreachable, nowNs);
     if (issuer.isEmpty()) {
-      denyWithoutIssuer(listener);
+      denyWithoutIssuer(wanted.tenant(), listener);
       return;
     }
     if (issuer.get().equals(self)) {
@@ -234,10 +245,10 @@
           boolean isDenied =
               reply.flatMap(QuotaCoordinator.Reply::decision).orElse(null)
                   instanceof QuotaIssuer.Decision.Denied;
-          if ((reply.isEmpty() || isDenied && isFirstContact) && attempts > 1) {
+          if (isDenied && isFirstContact && attempts > 1) {
             acquire(wanted, attempts - 1, replyNs, listener);
           } else if (reply.isEmpty()) {
-            denyWithoutIssuer(listener);
+            denyWithoutIssuer(wanted.tenant(), listener);
           } else {
             conclude(wanted.tenant(), reply.get(), listener);
           }
@@ -247,7 +258,7 @@
   /** A reply without a decision means that the tenant has no quota any more. */
   private void conclude(TenantName tenant, QuotaCoordinator.Reply reply, Listener listener) {
     switch (reply.decision().orElseGet(QuotaIssuer.Decision.Granted::new)) {
-      case QuotaIssuer.Decision.Granted _ -> listener.onGranted();
+      case QuotaIssuer.Decision.Granted _ -> listener.onGranted(true);
       case QuotaIssuer.Decision.Denied denied -> {
         denials.record(tenant, denied, clock.nowNs());
         deny(tenant, listener);
@@ -256,12 +267,20 @@
   }
 
   private void deny(TenantName tenant, Listener listener) {
-    refusedCount++;
     DenialMemory.Denial denial = denials.next(tenant, clock.nowNs());
-    listener.onDenied(denial.returnInNs(), denial.isOverQuota());
+    if (denial.isOverQuota()) {
+      refusedCount++;
+      listener.onDenied(denial.returnInNs(), true);
+    } else {
+      denyWithoutIssuer(tenant, listener);
+    }
   }
 
-  private void denyWithoutIssuer(Listener listener) {
+  private void denyWithoutIssuer(TenantName tenant, Listener listener) {
+    if (startAllowance.tryTake(tenant, clock.nowNs())) {
+      listener.onGranted(false);
+      return;
+    }
     refusedCount++;
     listener.onDenied(NO_ISSUER_RETURN_NS, false);
   }
@@ -333,8 +352,17 @@
     metrics.registerGauge("quota.refused", () -> refusedCount);
   }
 
+  /** Turns to the next gateway at once, since this one's share is of no use meanwhile. */
   private void onSilence(String gateway) {
     coordinator.recordSilence(gateway, clock.nowNs());
+    if (!isRenewing) {
+      isRenewing = true;
+      loop.execute(
+          () -> {
+            isRenewing = false;
+            renew();
+          });
+    }
   }
 
   /** Returns what is known about quotas here. */
--- a/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/StateSync.java
@@ -103,6 +103,7 @@
     this.onChange = onChange;
     this.storeWatch =
         new StoreWatch(
+            StoreWatch.collections(settings.policies()),
             components.feed(),
             scheduler,
             components.clock(),
@@ -133,7 +134,7 @@
           directory.start(self);
           RepeatedTask.start(loop, "relay", this::check);
           if (!settings.relay().firstStart()) {
-            schedule(this::listCached, CACHED_LIST_DELAY_MS);
+            loop.schedule(this::listCached, CACHED_LIST_DELAY_MS, TimeUnit.MILLISECONDS);
           }
         });
   }
@@ -185,7 +186,7 @@
    * still starting.
    */
   private void listCached() {
-    for (Collection collection : StoreWatch.COLLECTIONS) {
+    for (Collection collection : storeWatch.collections()) {
       if (!storeWatch.isWatching() && stateCache.revision(collection) == 0) {
         components
             .feed()
@@ -265,7 +266,7 @@
   }
 
   private void publish(Collection collection, StorePosition position, RelayMessage message) {
-    if (StoreWatch.COLLECTIONS.contains(collection)) {
+    if (storeWatch.collections().contains(collection)) {
       publishedPositions.merge(
           collection, position, (old, next) -> next.compareTo(old) > 0 ? next : old);
     }
@@ -393,8 +394,4 @@
       return stateCache.gateways().contains(gateway);
     }
   }
-
-  private void schedule(Runnable action, long delayMs) {
-    components.loop().schedule(action, delayMs, TimeUnit.MILLISECONDS);
-  }
 }
