--- a/edge/src/main/java/org/cowslipstair/edge/StateDump.java
+++ b/edge/src/main/java/org/cowslipstair/edge/StateDump.java
@@ -6,7 +6,9 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.cowslipstair.edge.backend.BackendEntry;
 import org.cowslipstair.edge.backend.BackendTable;
 import org.cowslipstair.edge.permit.PermitService;
@@ -20,6 +22,7 @@
 import org.cowslipstair.logic.quota.QuotaIssuer;
 import org.cowslipstair.logic.rollout.VersionShare;
 import org.cowslipstair.logic.traffic.TrafficStateCache;
+import org.cowslipstair.model.config.ServiceName;
 import org.cowslipstair.model.rollout.RolloutOrder;
 import org.cowslipstair.model.traffic.BackendInstance;
 import org.cowslipstair.model.traffic.GatewayEntry;
@@ -36,6 +39,7 @@
   private final PermitService permits;
   private final QuarantineService quarantine;
   private final QuotaService quotas;
+  private final Supplier<Map<ServiceName, Integer>> waitingRequests;
   private final Optional<RolloutService> rollouts;
 
   StateDump(
@@ -45,13 +49,15 @@
       PermitService permits,
       QuarantineService quarantine,
       QuotaService quotas,
-      Optional<RolloutService> rollouts) {
+      Optional<RolloutService> rollouts,
+      Supplier<Map<ServiceName, Integer>> waitingRequests) {
     this.stateCache = stateCache;
     this.table = table;
     this.sync = sync;
     this.permits = permits;
     this.quarantine = quarantine;
     this.quotas = quotas;
+    this.waitingRequests = waitingRequests;
     this.rollouts = rollouts;
   }
 
@@ -87,6 +93,8 @@
             .sorted(Comparator.comparing(entry -> entry.stats().instance().name().value()))
             .toList();
     entries.forEach(entry -> backends.add(backend(entry, nowNs)));
+    ObjectNode waiting = root.putObject("waitingRequests");
+    waitingRequests.get().forEach((service, count) -> waiting.put(service.value(), count));
     ArrayNode suspects = root.putArray("suspectedRequests");
     quarantine.suspects().stream()
         .sorted(Comparator.comparing(suspect -> suspect.fingerprint().hex()))
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
@@ -26,6 +26,7 @@
 import org.cowslipstair.logic.invariant.InvariantMonitor;
 import org.cowslipstair.logic.invariant.Violation;
 import org.cowslipstair.logic.overload.LoopDelay;
+import org.cowslipstair.logic.overload.UrgentRoutes;
 import org.cowslipstair.logic.placement.CandidateOrder;
 import org.cowslipstair.logic.placement.FailureAverage;
 import org.cowslipstair.logic.placement.ServiceTimes;
@@ -35,6 +36,7 @@
 import org.cowslipstair.model.config.ServiceName;
 import org.cowslipstair.model.traffic.RequestFingerprint;
 import org.cowslipstair.model.traffic.Route;
+import org.cowslipstair.model.traffic.TrafficPlan;
 import org.cowslipstair.port.MonotonicClock;
 
 /** State and dependencies shared by the exchanges of one gateway. Used on the event loop only. */
@@ -53,6 +55,10 @@
   private final Map<String, WeightedServiceSelector> serviceSelectors = new HashMap<>();
   private final ServiceTimes serviceTimes = new ServiceTimes();
   private final LoopDelay loopDelay = new LoopDelay();
+  private final long createdNs;
+  private final WaitingRoom waitingRoom;
+  private long urgentRoutesVersion;
+  private Optional<UrgentRoutes> urgentRoutes = Optional.empty();
   private final RateLimitHeader rateLimitHeader;
   private final CrashDetector crashDetector;
   private Optional<PlannedStop> plannedStop = Optional.empty();
@@ -61,6 +67,13 @@
   /** Creates a context. */
   public ExchangeContext(Dependencies dependencies) {
     this.dependencies = dependencies;
+    this.createdNs = dependencies.clock().nowNs();
+    this.waitingRoom =
+        new WaitingRoom(
+            dependencies.loop(),
+            dependencies.clock(),
+            dependencies.observer(),
+            dependencies.fleet().monitor());
     this.rateLimitHeader = new RateLimitHeader(dependencies.headers().rateLimit());
     this.crashDetector =
         new CrashDetector(dependencies.table(), dependencies.prober(), dependencies.clock());
@@ -151,10 +164,34 @@
     return dependencies.observer();
   }
 
+  WaitingRoom waitingRoom() {
+    return waitingRoom;
+  }
+
+  /** Returns the number of requests of each service that wait for room. */
+  public Map<ServiceName, Integer> waitingRequests() {
+    return waitingRoom.sizes();
+  }
+
+  /** Returns whether a service gets requests that are more urgent than one. */
+  boolean hasMoreUrgent(ServiceName service, Route route, int priority) {
+    Optional<TrafficPlan> plan = table().state().plan();
+    if (plan.isPresent() && plan.get().version() != urgentRoutesVersion) {
+      urgentRoutesVersion = plan.get().version();
+      urgentRoutes = plan.map(UrgentRoutes::new);
+    }
+    return urgentRoutes.filter(r -> r.hasMoreUrgent(service, route, priority)).isPresent();
+  }
+
   ServiceTimes serviceTimes() {
     return serviceTimes;
   }
 
+  /** Returns the time since this gateway began to take requests, in nanoseconds. */
+  long ageNs() {
+    return nowNs() - createdNs;
+  }
+
   /** Returns how far the event loop is behind, and starts the next measurement. */
   long loopDelayNs() {
     if (!isMeasuringLoopDelay) {
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/SelectionCriteria.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/SelectionCriteria.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.Set;
+import org.cowslipstair.logic.overload.Urgency;
 import org.cowslipstair.logic.placement.PlacementRule;
 import org.cowslipstair.logic.rollout.VersionChoice;
 import org.cowslipstair.model.config.BackendName;
@@ -12,13 +13,18 @@
  *
  * @param excluded backend servers that must not be selected
  * @param versions versions of the service that may be selected
+ * @param urgency order of the request among those that wait for room
  */
 record SelectionCriteria(
-    ServiceName service, Set<BackendName> excluded, PlacementRule rule, VersionChoice versions) {
+    ServiceName service,
+    Set<BackendName> excluded,
+    PlacementRule rule,
+    VersionChoice versions,
+    Urgency urgency) {
   /** Returns the requirements if no backend server meets these; empty if there are none. */
   Optional<SelectionCriteria> alternative() {
     return versions
         .alternative()
-        .map(other -> new SelectionCriteria(service, excluded, rule, other));
+        .map(other -> new SelectionCriteria(service, excluded, rule, other, urgency));
   }
 }
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/SendPreparation.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/SendPreparation.java
@@ -13,6 +13,7 @@
   private final HedgeTimer hedgeTimer;
   private final Listener listener;
   private @Nullable BackendSelection selection;
+  private WaitingRoom.@Nullable Visit visit;
   private OptionalLong roomInNs = OptionalLong.empty();
   private String detail = "";
   private boolean cancelled;
@@ -25,6 +26,9 @@
     /** No backend server can be used. */
     void onNoneSelected(NotRunReason reason, boolean isHedge);
 
+    /** The request has waited for room; its next selection is due. */
+    void onWaited(String cause);
+
     /** No connection to the selected backend server could be opened. */
     void onUnreachable();
   }
@@ -60,20 +64,52 @@
               public void onNoneSelected(
                   NotRunReason reason, OptionalLong newRoomInNs, String selectionDetail) {
                 selection = null;
-                Optional<SelectionCriteria> alternative = criteria.alternative();
-                if (alternative.isPresent()) {
-                  start(alternative.get(), cause, isHedge);
-                  return;
+                if (!startAlternative(criteria, cause, isHedge)) {
+                  roomInNs = newRoomInNs;
+                  detail = selectionDetail;
+                  listener.onNoneSelected(reason, isHedge);
+                }
+              }
+
+              @Override
+              public void onDeferred(OptionalLong newRoomInNs, String selectionDetail) {
+                selection = null;
+                if (!startAlternative(criteria, cause, isHedge)) {
+                  roomInNs = newRoomInNs;
+                  detail = selectionDetail;
+                  waitForRoom(criteria, cause);
                 }
-                roomInNs = newRoomInNs;
-                detail = selectionDetail;
-                listener.onNoneSelected(reason, isHedge);
               }
             });
     selection = newSelection;
     newSelection.start();
   }
 
+  /** Looks among other versions of the service, if they may be selected too. */
+  private boolean startAlternative(SelectionCriteria criteria, String cause, boolean isHedge) {
+    Optional<SelectionCriteria> alternative = criteria.alternative();
+    alternative.ifPresent(other -> start(other, cause, isHedge));
+    return alternative.isPresent();
+  }
+
+  private void waitForRoom(SelectionCriteria criteria, String cause) {
+    Optional<WaitingRoom.Visit> entered =
+        context
+            .waitingRoom()
+            .enter(
+                criteria.service(),
+                criteria.urgency(),
+                roomInNs,
+                () -> {
+                  visit = null;
+                  listener.onWaited(cause);
+                });
+    visit = entered.orElse(null);
+    if (entered.isEmpty()) {
+      listener.onNoneSelected(NotRunReason.NO_FREE_SLOT, false);
+    }
+  }
+
   private void connect(BackendSelection.Selected selected, String cause) {
     if (selected.connection().isPresent()) {
       listener.onConnected(selected, selected.connection().get(), cause);
@@ -98,9 +134,9 @@
             });
   }
 
-  /** Returns whether a selection is in progress. */
+  /** Returns whether a selection is in progress or waits for room. */
   boolean isSelecting() {
-    return selection != null;
+    return selection != null || visit != null;
   }
 
   /** Records what the load report of a server tells of its room after a send. */
@@ -124,6 +160,10 @@
   /** Ends the preparation; the listener is not called any more. */
   void cancel() {
     cancelled = true;
+    if (visit != null) {
+      visit.leave();
+      visit = null;
+    }
     if (selection != null) {
       selection.cancel();
       selection = null;
--- a/lib/src/main/java/org/cowslipstair/logic/placement/PlacementRule.java
+++ b/lib/src/main/java/org/cowslipstair/logic/placement/PlacementRule.java
@@ -14,13 +14,15 @@
  *     the request is refused if there is none
  * @param deadlineNs monotonic time at which the caller gets a response in any case
  * @param isHedge whether the request is already running on another backend server
+ * @param waiting whether the request may wait for room, and what it leaves to others
  */
 public record PlacementRule(
     double serviceTimeNs,
     long targetDeadlineNs,
     long selectionEndNs,
     long deadlineNs,
-    boolean isHedge) {
+    boolean isHedge,
+    Waiting waiting) {
   /** A backend server with a free slot and a score up to this is selected at once. */
   private static final double GOOD_SCORE = 1.6;
 
@@ -30,15 +32,35 @@
    */
   private static final double QUEUE_UNCERTAINTY = 1.5;
 
+  /** Time that a waiting request keeps for its work, in usual service times. */
+  private static final double KEPT_SERVICE_TIMES = 1.5;
+
+  /**
+   * Time until the target, in usual service times, from which a request is patient: it can be
+   * delayed by its whole work and still be in time. What {@link ServiceTimes} assumes before the
+   * first measurement is included: waiting is a smaller mistake than refusing.
+   */
+  private static final double PATIENT_FROM = 2.5;
+
+  /**
+   * Minimum slack of a patient request. Within less, a gateway with a fraction of a core looks once
+   * or twice and finds the same backend servers busy.
+   */
+  private static final double MIN_SLACK_NS = 250e6;
+
   /** Expected outcome of a request on a backend server, best first. */
   public enum Prospect {
     /** The response is expected within the target latency. */
     IN_TIME,
+    /** As {@link #IN_TIME}, but the request leaves the slot to more urgent ones for now. */
+    SPARED,
     /** The response is expected before the deadline. */
     LATE,
     /** A slot is free, but the response is not expected before the deadline. */
     UNLIKELY,
-    /** The backend server has no room. */
+    /**
+     * The backend server has no room: no slot is free, and its queue would make the request late.
+     */
     NO_ROOM
   }
 
@@ -52,12 +74,42 @@
     PROBE_OTHER_ZONES,
     /** Wait for responses to probes. */
     AWAIT_RESPONSES,
+    /** Select again after a pause: the request can still be in time then. */
+    WAIT,
     /** Refuse the request: no backend server has room. */
     REFUSE_NO_ROOM,
     /** Refuse the request: no backend server has responded. */
     REFUSE_UNREACHABLE
   }
 
+  /** What a request without room in time does. */
+  public enum Waiting {
+    /** It is sent or refused at once. */
+    NONE,
+    /** It waits for room while it can be in time. */
+    WHILE_IN_TIME,
+    /**
+     * As {@link #WHILE_IN_TIME}, and while it is patient it leaves the last free slot of each
+     * backend server to requests that are not.
+     */
+    SPARING_LAST_SLOTS;
+
+    /**
+     * Returns what a request does. One that is not patient does not wait: it would only be in time
+     * at a backend server with several free slots, and while few have any, each that waits delays
+     * those that come after it.
+     *
+     * @param isPatient whether it could bear a delay when it arrived
+     * @param hasMoreUrgent whether its service gets more urgent requests
+     */
+    public static Waiting of(boolean isPatient, boolean hasMoreUrgent) {
+      if (!isPatient) {
+        return NONE;
+      }
+      return hasMoreUrgent ? SPARING_LAST_SLOTS : WHILE_IN_TIME;
+    }
+  }
+
   /** A backend server that the request could be sent to. */
   public record Option(LatencyEstimate estimate, boolean isLocal) {}
 
@@ -71,7 +123,11 @@
   public record Remaining(boolean hasLocal, boolean hasInOtherZones, boolean hasPendingProbes) {}
 
   /** Returns whether a backend server is so good that no others need to be probed. */
-  public static boolean isGood(LatencyEstimate estimate) {
+  public boolean isGood(LatencyEstimate estimate, long nowNs) {
+    return isFast(estimate) && !spares(estimate, nowNs);
+  }
+
+  private static boolean isFast(LatencyEstimate estimate) {
     return estimate.hasFreeSlot() && estimate.score() <= GOOD_SCORE;
   }
 
@@ -93,6 +149,9 @@
     if (best.isEmpty()) {
       return Step.REFUSE_UNREACHABLE;
     }
+    if (isWorthWaiting(best.get().estimate, nowNs)) {
+      return Step.WAIT;
+    }
     return isWorthSending(best.get().estimate, nowNs) ? Step.SELECT : Step.REFUSE_NO_ROOM;
   }
 
@@ -109,26 +168,55 @@
   /**
    * Returns whether sending the request is better than refusing it. A request that would queue and
    * still be late is refused: in the queue it would make others late too, while its caller can
-   * return when there is room.
+   * return when there is room. So is one that would be late at a slow server although even a queue
+   * elsewhere is shorter: it would hold a slot for several times its usual work.
    */
   private boolean isWorthSending(LatencyEstimate estimate, long nowNs) {
     return isHedge
-        ? isGood(estimate)
+        ? isFast(estimate)
         : estimate.hasFreeSlot() || prospect(estimate, nowNs) == Prospect.IN_TIME;
   }
 
+  private boolean isWorthWaiting(LatencyEstimate estimate, long nowNs) {
+    if (waiting == Waiting.NONE || isHedge || latestStartNs() <= nowNs) {
+      return false;
+    }
+    return prospect(estimate, nowNs) != Prospect.IN_TIME;
+  }
+
+  /** Returns whether a request with this time until its target can bear a delay. */
+  public static boolean isPatient(double serviceTimeNs, long untilTargetNs) {
+    return (long) (PATIENT_FROM * serviceTimeNs) <= untilTargetNs
+        && KEPT_SERVICE_TIMES * serviceTimeNs + MIN_SLACK_NS <= untilTargetNs;
+  }
+
+  /** Returns the monotonic time until which the request waits. */
+  public long latestStartNs() {
+    return Math.min(targetDeadlineNs, deadlineNs) - (long) (KEPT_SERVICE_TIMES * serviceTimeNs);
+  }
+
   private boolean isGoodEnough(LatencyEstimate estimate, long nowNs) {
     return estimate.hasFreeSlot()
-        && (!isHedge || isGood(estimate))
+        && (!isHedge || isFast(estimate))
         && prospect(estimate, nowNs) == Prospect.IN_TIME;
   }
 
+  /**
+   * Returns whether the request leaves a place to more urgent ones for now: the last free slot of a
+   * backend server, or its queue.
+   */
+  private boolean spares(LatencyEstimate estimate, long nowNs) {
+    return waiting == Waiting.SPARING_LAST_SLOTS
+        && (estimate.takesLastSlot() || !estimate.hasFreeSlot())
+        && isPatient(serviceTimeNs, targetDeadlineNs - nowNs);
+  }
+
   /** Returns what is expected of a request that is sent now. */
   public Prospect prospect(LatencyEstimate estimate, long nowNs) {
     boolean hasRoom = estimate.hasFreeSlot() || estimate.canQueue();
     double uncertainty = estimate.hasFreeSlot() ? 1 : QUEUE_UNCERTAINTY;
     if (hasRoom && nowNs + estimate.score() * uncertainty * serviceTimeNs <= targetDeadlineNs) {
-      return Prospect.IN_TIME;
+      return spares(estimate, nowNs) ? Prospect.SPARED : Prospect.IN_TIME;
     }
     if (hasRoom && nowNs + estimate.total() * serviceTimeNs < deadlineNs) {
       return Prospect.LATE;
@@ -155,10 +243,11 @@
   /** Preference of a backend server; the lowest value is preferred. */
   private int preference(Prospect prospect, boolean isLocal) {
     return switch (prospect) {
-      case IN_TIME -> isLocal ? 0 : isHedge ? 2 : 1;
-      case LATE -> isLocal ? isHedge ? 1 : 2 : 3;
-      case UNLIKELY -> isLocal ? 4 : 5;
-      case NO_ROOM -> isLocal ? 6 : 7;
+      case IN_TIME -> isLocal ? 0 : isHedge ? 3 : 1;
+      case SPARED -> isLocal ? isHedge ? 1 : 2 : isHedge ? 4 : 3;
+      case LATE -> isLocal ? isHedge ? 2 : 4 : 5;
+      case UNLIKELY -> isLocal ? 6 : 7;
+      case NO_ROOM -> isLocal ? 8 : 9;
     };
   }
 }
