--- a/edge/src/main/java/org/cowslipstair/edge/quota/QuotaService.java
+++ b/edge/src/main/java/org/cowslipstair/edge/quota/QuotaService.java
@@ -143,12 +143,19 @@
     if (limits.hasQuotas()) {
       long nowNs = clock.nowNs();
       coordinator.toReach(gateways.get(), network::isUnreachable, nowNs).forEach(network::open);
-      renew();
+      renew(true);
     }
     return RENEWAL_INTERVAL_MS;
   }
 
-  private void renew() {
+  /**
+   * Renews the loan of the own share.
+   *
+   * @param isScheduled whether to go on at once when a reply lets the share be lent; a reply to
+   *     what follows from a reply does not, since an issuer whose process changes would be asked as
+   *     fast as it responds
+   */
+  private void renew(boolean isScheduled) {
     long nowNs = clock.nowNs();
     Optional<String> preferred =
         coordinator.preferred(gateways.get(), network::isUnreachable, nowNs);
@@ -157,7 +164,9 @@
       return;
     }
     String gateway = preferred.get();
-    coordinator.heldUpBy(gateway, nowNs).ifPresent(this::release);
+    if (isScheduled) {
+      coordinator.heldUpBy(gateway, nowNs).ifPresent(this::release);
+    }
     if (gateway.equals(self)) {
       coordinator.respondToSelf(Optional.empty(), windowNs(), gateways.get(), nowNs);
     } else if (coordinator.needsRenewal(gateway, nowNs)) {
@@ -167,8 +176,9 @@
           Optional.empty(),
           MAX_REPLY_NS,
           reply -> {
-            if (reply.isPresent() && coordinator.canLend(gateway, clock.nowNs())) {
-              renew();
+            boolean canLend = reply.isPresent() && coordinator.canLend(gateway, clock.nowNs());
+            if (isScheduled && canLend) {
+              renew(false);
             }
           });
     }
@@ -189,7 +199,7 @@
             reply.ifPresent(
                 released -> {
                   coordinator.recordReleased(released);
-                  renew();
+                  renew(false);
                 }));
   }
 
@@ -360,7 +370,7 @@
       loop.execute(
           () -> {
             isRenewing = false;
-            renew();
+            renew(true);
           });
     }
   }
