--- a/edge/src/main/java/org/cowslipstair/edge/peer/PeerFrames.java
+++ b/edge/src/main/java/org/cowslipstair/edge/peer/PeerFrames.java
@@ -27,6 +27,7 @@
   private static final byte PING = 16;
 
   private static final byte PONG = 17;
+  private static final byte SUBSCRIBE = 24;
 
   private PeerFrames() {}
 
@@ -48,6 +49,16 @@
     return frame.length == 1 && frame[0] == PONG;
   }
 
+  /** Returns the frame with which a gateway asks another one to relay the state of the store. */
+  public static byte[] subscribe() {
+    return new byte[] {SUBSCRIBE};
+  }
+
+  /** Returns whether a frame asks for the state of the store. */
+  public static boolean isSubscribe(byte[] frame) {
+    return frame.length == 1 && frame[0] == SUBSCRIBE;
+  }
+
   /** Returns whether a frame relays the state of the store. */
   static boolean isRelayed(byte[] frame) {
     return frame.length == 0 || frame[0] < PING;
--- a/edge/src/main/java/org/cowslipstair/edge/relay/RelayLink.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/RelayLink.java
@@ -1,6 +1,7 @@
 package org.cowslipstair.edge.relay;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -58,7 +59,9 @@
         _ -> {
           if (!connecting.isSuccess()) {
             closed = true;
+            return;
           }
+          connecting.channel().writeAndFlush(Unpooled.wrappedBuffer(PeerFrames.subscribe()));
         });
   }
 
--- a/edge/src/main/java/org/cowslipstair/edge/relay/RelayServer.java
+++ b/edge/src/main/java/org/cowslipstair/edge/relay/RelayServer.java
@@ -24,15 +24,18 @@
 import org.cowslipstair.port.MonotonicClock;
 
 /**
- * Relays the state of the store to the gateways that connect, unless they send a frame first: then
- * they get responses to their frames instead. Confined to its event loop.
+ * Relays the state of the store to the gateways that subscribe, and responds to the frames of the
+ * others. Confined to its event loop.
  */
 public final class RelayServer {
   /** Maximum bytes queued for one subscriber; one that does not read is disconnected. */
   private static final int MAX_QUEUED_BYTES = 8 << 20;
 
-  /** Time in which a gateway that does not subscribe sends its first frame. */
-  private static final long FIRST_FRAME_TIMEOUT_MS = 20;
+  /**
+   * Time after which a gateway that has sent no frame counts as a subscriber of an earlier release.
+   * A gateway with a slow processor may take most of it until its first frame.
+   */
+  private static final long FIRST_FRAME_TIMEOUT_MS = 400;
 
   private final RelayCodec codec;
   private final Supplier<List<RelayMessage>> initialMessages;
@@ -111,12 +114,19 @@
       context
           .executor()
           .schedule(
-              () -> subscribe(context.channel()), FIRST_FRAME_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+              () -> onFirstFrameTimeout(context.channel()),
+              FIRST_FRAME_TIMEOUT_MS,
+              TimeUnit.MILLISECONDS);
+    }
+
+    private void onFirstFrameTimeout(Channel channel) {
+      if (!hasSentFrame) {
+        subscribe(channel);
+      }
     }
 
     private void subscribe(Channel channel) {
-      if (!hasSentFrame && channel.isActive()) {
-        subscribers.add(channel);
+      if (channel.isActive() && subscribers.add(channel)) {
         initialMessages.get().forEach(message -> send(channel, codec.encode(message)));
       }
     }
@@ -124,9 +134,13 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) throws IOException {
       hasSentFrame = true;
-      subscribers.remove(context.channel());
       byte[] bytes = new byte[frame.readableBytes()];
       frame.readBytes(bytes);
+      if (PeerFrames.isSubscribe(bytes)) {
+        subscribe(context.channel());
+        return;
+      }
+      subscribers.remove(context.channel());
       frameHandler.onFrame(bytes).ifPresent(response -> send(context.channel(), response));
     }
 
--- a/edge/src/test/java/org/cowslipstair/edge/relay/RelayServerTest.java
+++ b/edge/src/test/java/org/cowslipstair/edge/relay/RelayServerTest.java
@@ -30,6 +30,7 @@
 @Timeout(60)
 final class RelayServerTest {
   private static final long MAX_BYTES = 64L << 20;
+  private static final long LATE_MS = 100;
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
@@ -77,6 +78,39 @@
     assertThat(link.isOpenWithProof(), is(hasReached));
   }
 
+  /** A gateway with a slow processor got the whole state, since its first frame came late. */
+  @Test
+  void gatewayThatDoesNotSubscribeGetsNoStateHoweverLateItsFirstFrameIs()
+      throws IOException, InterruptedException {
+    byte[] reply = {42};
+    RelayServer server =
+        new RelayServer(MonotonicClock.system(), RelayServerTest::state, _ -> Optional.of(reply));
+    int port = server.open(group.next(), new HostPort("127.0.0.1", 0));
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      TimeUnit.MILLISECONDS.sleep(LATE_MS);
+      socket.getOutputStream().write(new byte[] {0, 0, 0, 1, 16});
+      byte[] expected = {0, 0, 0, 1, 42};
+      assertThat(socket.getInputStream().readNBytes(expected.length), is(expected));
+    }
+  }
+
+  /** Gateways of an earlier release subscribe without a frame. */
+  @Test
+  void gatewayThatSendsNothingIsASubscriber() throws IOException, InterruptedException {
+    RelayServer server =
+        new RelayServer(MonotonicClock.system(), RelayServerTest::state, RelayServerTest::reject);
+    int port = server.open(group.next(), new HostPort("127.0.0.1", 0));
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      assertThat(socket.getInputStream().read(), is(0));
+      assertThat(server.subscribers(), is(1));
+    }
+  }
+
+  private static List<RelayMessage> state() {
+    return List.of(
+        new RelayMessage.Snapshot(Collection.ZONES_OUT, new StorePosition(0, 9), List.of()));
+  }
+
   @Test
   void subscriberThatSendsBytesWithoutEndLosesItsConnection()
       throws IOException, InterruptedException {
