--- a/lib/src/main/java/org/cowslipstair/logic/placement/PlacementRule.java
+++ b/lib/src/main/java/org/cowslipstair/logic/placement/PlacementRule.java
@@ -43,8 +43,14 @@
   private static final double PATIENT_FROM = 2.5;
 
   /**
-   * Minimum slack of a patient request. Within less, a gateway with a fraction of a core looks once
-   * or twice and finds the same backend servers busy.
+   * Minimum slack of a request that waits, when it arrives. A refused caller returns within less,
+   * so that a request with less slack gains little by waiting and delays those that come after it.
+   */
+  private static final double MIN_SLACK_AT_ARRIVAL_NS = 1e9;
+
+  /**
+   * Minimum slack of a request that leaves last slots to others. Within less, a gateway with a
+   * fraction of a core looks once or twice and finds the same backend servers busy.
    */
   private static final double MIN_SLACK_NS = 250e6;
 
@@ -184,8 +190,13 @@
     return prospect(estimate, nowNs) != Prospect.IN_TIME;
   }
 
-  /** Returns whether a request with this time until its target can bear a delay. */
+  /** Returns whether a request that arrives this time before its target can bear a delay. */
   public static boolean isPatient(double serviceTimeNs, long untilTargetNs) {
+    return serviceTimeNs + MIN_SLACK_AT_ARRIVAL_NS <= untilTargetNs
+        && hasSlack(serviceTimeNs, untilTargetNs);
+  }
+
+  private static boolean hasSlack(double serviceTimeNs, long untilTargetNs) {
     return (long) (PATIENT_FROM * serviceTimeNs) <= untilTargetNs
         && KEPT_SERVICE_TIMES * serviceTimeNs + MIN_SLACK_NS <= untilTargetNs;
   }
@@ -208,7 +219,7 @@
   private boolean spares(LatencyEstimate estimate, long nowNs) {
     return waiting == Waiting.SPARING_LAST_SLOTS
         && (estimate.takesLastSlot() || !estimate.hasFreeSlot())
-        && isPatient(serviceTimeNs, targetDeadlineNs - nowNs);
+        && hasSlack(serviceTimeNs, targetDeadlineNs - nowNs);
   }
 
   /** Returns what is expected of a request that is sent now. */
--- a/lib/src/test/java/org/cowslipstair/logic/placement/PlacementRuleTest.java
+++ b/lib/src/test/java/org/cowslipstair/logic/placement/PlacementRuleTest.java
@@ -214,8 +214,9 @@
     assertThat(Waiting.of(true, false), is(Waiting.WHILE_IN_TIME));
     assertThat(Waiting.of(true, true), is(Waiting.SPARING_LAST_SLOTS));
     assertThat(PlacementRule.isPatient(SERVICE_TIME_NS, TARGET_NS), is(false));
-    assertThat(PlacementRule.isPatient(3 * SERVICE_TIME_NS, 2 * TARGET_NS), is(false));
-    assertThat(PlacementRule.isPatient(SERVICE_TIME_NS, 2 * TARGET_NS), is(true));
+    assertThat(PlacementRule.isPatient(10 * SERVICE_TIME_NS, 6 * TARGET_NS), is(false));
+    assertThat(PlacementRule.isPatient(SERVICE_TIME_NS, 5 * TARGET_NS), is(false));
+    assertThat(PlacementRule.isPatient(SERVICE_TIME_NS, 6 * TARGET_NS), is(true));
   }
 
   @Test
