--- a/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/Exchange.java
@@ -337,8 +337,7 @@
     }
     long callerRemainingNs =
         message.callerDeadlineNs().orElse(timer.deadlines().finalNs()) - context.nowNs();
-    refusalWriter.write(
-        responder, demand.withReturn(refusal), message.requestId(), callerRemainingNs);
+    refusalWriter.write(responder, refusal, message.requestId(), callerRemainingNs);
     finish(refusal.reasonName(), refusal.status().code());
   }
 
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/ExchangeContext.java
@@ -55,7 +55,6 @@
   private final Map<String, WeightedServiceSelector> serviceSelectors = new HashMap<>();
   private final ServiceTimes serviceTimes = new ServiceTimes();
   private final LoopDelay loopDelay = new LoopDelay();
-  private final long createdNs;
   private final WaitingRoom waitingRoom;
   private long urgentRoutesVersion;
   private Optional<UrgentRoutes> urgentRoutes = Optional.empty();
@@ -67,7 +66,6 @@
   /** Creates a context. */
   public ExchangeContext(Dependencies dependencies) {
     this.dependencies = dependencies;
-    this.createdNs = dependencies.clock().nowNs();
     this.waitingRoom =
         new WaitingRoom(
             dependencies.loop(),
@@ -187,11 +185,6 @@
     return serviceTimes;
   }
 
-  /** Returns the time since this gateway began to take requests, in nanoseconds. */
-  long ageNs() {
-    return nowNs() - createdNs;
-  }
-
   /** Returns how far the event loop is behind, and starts the next measurement. */
   long loopDelayNs() {
     if (!isMeasuringLoopDelay) {
--- a/edge/src/main/java/org/cowslipstair/edge/exchange/RoomDemand.java
+++ b/edge/src/main/java/org/cowslipstair/edge/exchange/RoomDemand.java
@@ -1,11 +1,8 @@
 package org.cowslipstair.edge.exchange;
 
-import java.util.OptionalLong;
 import java.util.Set;
-import org.cowslipstair.logic.overload.ReturnDelay;
 import org.cowslipstair.logic.overload.Urgency;
 import org.cowslipstair.logic.placement.PlacementRule;
-import org.cowslipstair.model.call.NotRunReason;
 import org.cowslipstair.model.config.BackendName;
 import org.cowslipstair.model.config.ServiceName;
 import org.cowslipstair.model.traffic.Route;
@@ -82,21 +79,4 @@
     return new SelectionCriteria(
         service, Set.copyOf(excluded), rule, context.fleet().versions().choose(service), urgency);
   }
-
-  /** Returns the refusal with the time at which another gateway could run the request, if any. */
-  Refusal withReturn(Refusal refusal) {
-    boolean isOfThisGateway =
-        refusal instanceof Refusal.NotRun(NotRunReason reason, OptionalLong roomInNs)
-            && roomInNs.isEmpty()
-            && (reason == NotRunReason.BACKEND_UNREACHABLE || reason == NotRunReason.GATEWAY_BUSY);
-    if (!isOfThisGateway) {
-      return refusal;
-    }
-    long untilTargetNs = timer.deadlines().targetNs() - context.nowNs();
-    boolean returnsAtOnce =
-        ReturnDelay.canBeInTimeElsewhere(untilTargetNs, serviceTimeNs(), context.ageNs());
-    return returnsAtOnce
-        ? new Refusal.NotRun(((Refusal.NotRun) refusal).reason(), OptionalLong.of(0))
-        : refusal;
-  }
 }
--- a/lib/src/main/java/org/cowslipstair/logic/overload/ReturnDelay.java
+++ b/lib/src/main/java/org/cowslipstair/logic/overload/ReturnDelay.java
@@ -29,9 +29,6 @@
   /** Maximum delay as a share of the time that the caller still waits. */
   private static final double MAX_CALLER_TIME_SHARE = 0.3;
 
-  /** Time after the start of a gateway in which the whole fleet may be starting. */
-  private static final long START_NS = 5_000 * NS_PER_MS;
-
   private final RandomGenerator random;
 
   /** Creates the decision with a source of the spread. */
@@ -62,20 +59,6 @@
     return MIN_DELAY_NS + Math.max(0, roomInNs) + (long) (random.nextDouble() * spreadNs);
   }
 
-  /**
-   * Returns whether a caller that this gateway could not serve in time, for lack of processor time
-   * or because no backend server responded, should return at once: another gateway can probably
-   * serve it, and later it would be late. After a start of the whole fleet none can.
-   *
-   * @param untilTargetNs time until the target latency is reached
-   * @param serviceTimeNs expected time that a backend server works on the request
-   * @param gatewayAgeNs time since the start of this gateway
-   */
-  public static boolean canBeInTimeElsewhere(
-      long untilTargetNs, double serviceTimeNs, long gatewayAgeNs) {
-    return gatewayAgeNs >= START_NS && untilTargetNs - serviceTimeNs > MIN_DELAY_NS + MIN_SPREAD_NS;
-  }
-
   private long unknownDelayNs() {
     return UNKNOWN_ROOM_NS + (long) (random.nextDouble() * UNKNOWN_SPREAD_NS);
   }
