--- a/lib/src/test/java/org/cowslipstair/logic/overload/model/Pattern.java
+++ b/lib/src/test/java/org/cowslipstair/logic/overload/model/Pattern.java
@@ -70,7 +70,7 @@
     return large(400, 1, 0, 0, 1, -1, 0.5);
   }
 
-  /** Archive reads come twice as often beside short uploads, as on scale-1 with tenants. */
+  /** Archive reads come twice as often beside short uploads. */
   static Pattern burstOfLongReads(Fleet fleet) {
     double perServer = fleet.servers() / 55.0;
     return new Pattern(
@@ -85,7 +85,7 @@
         0);
   }
 
-  /** Status calls come half as often again, as on scale-1 with tenants: servers at their knee. */
+  /** Status calls come half as often again: servers slow down when nearly full. */
   static Pattern burstOfShortCalls(Fleet fleet) {
     double perServer = fleet.servers() / 103.0;
     return new Pattern(
