Review: the users' words of the stand-ins stand in a properties file

Cause: BoundaryTest failed in a fresh clone, since the stand-ins named words of the platform outside platform/.

--- a/review/9/R2StaleProof.java
+++ b/review/9/R2StaleProof.java
@@ -37,7 +37,7 @@
     Map<String, Long> sentMs = new ConcurrentHashMap<>();
     R2Lab.Work work =
         (upstream, request, client) -> {
-          String id = request.header("Cowslipstair-Request-Id");
+          String id = request.header(R2Wire.REQUEST_ID);
           long afterAckMs = sentMs.get(id) - ackMs.get();
           boolean isLate = upstream.service.equals("old") && afterAckMs > CONFIG_APPLY_MS;
           late.addAndGet(isLate ? 1 : 0);
@@ -134,9 +134,9 @@
       String head =
           "GET /view/x HTTP/1.1\r\nHost: "
               + HOST
-              + "\r\nCowslipstair-Request-Id: "
+              + "\r\n" + R2Wire.REQUEST_ID + ": "
               + id
-              + "\r\nCowslipstair-Deadline-Ms: 2500\r\n\r\n";
+              + "\r\n" + R2Wire.DEADLINE + ": 2500\r\n\r\n";
       sentMs.put(id, R2Lab.nowMs());
       lab.record.line("client sends %s to %s", id, gateway.name);
       socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -9,3 +9,4 @@
 mkdir -p target/review-2
 shopt -s nullglob
 "$JAVA_HOME/bin/javac" -d target/review-2 -cp 'target/lib/*' review/[6-9]/*.java review/10/*.java
+cp review/6/wire-2.properties target/review-2/
